--- /dev/null
+++ b/crates/ragwortbeam/src/admin/mod.rs
@@ -0,0 +1,7 @@
+//! Operators' HTTP interface.
+
+mod report;
+mod server;
+
+pub use report::{Health, Report};
+pub use server::{install_metrics, serve};
--- /dev/null
+++ b/crates/ragwortbeam/src/backend/link.rs
@@ -0,0 +1,350 @@
+//! One endpoint's socket, with the requests and feeds in progress on it.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
+use std::time::Instant;
+
+use coap_lite::{MessageClass, MessageType, Packet};
+use metrics::counter;
+use rand::RngExt;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::{sleep_until, timeout_at};
+
+use crate::clock;
+use crate::entry::bind_udp;
+use crate::flow::Key;
+use crate::prelude::*;
+use crate::wire::coap;
+
+/// First retransmission timeout towards backend servers, which stand near.
+const ACK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest datagram read.
+const MAX_DATAGRAM_LEN: usize = 65_535;
+
+/// Why an endpoint gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The request never left this VM.
+    NotSent,
+    /// The endpoint rejected the message, or its port is closed.
+    Reset,
+    /// The deadline passed.
+    TimedOut,
+}
+
+/// Socket towards one endpoint of one service.
+#[derive(Debug)]
+pub struct Link {
+    /// Endpoint.
+    pub endpoint: id::Endpoint,
+    socket: UdpSocket,
+    next_message_id: AtomicU16,
+    /// Requests without an answer, by token.
+    pending: Mutex<HashMap<u64, Pending>>,
+    /// Registrations, by token.
+    feeds: Mutex<HashMap<u64, Leg>>,
+    /// Monotonic time of the last datagram, milliseconds.
+    pub(super) heard_at_ms: AtomicU64,
+    /// True while the endpoint's port is closed.
+    pub(super) is_refused: AtomicBool,
+}
+
+#[derive(Debug)]
+struct Pending {
+    message_id: u16,
+    /// Set once the endpoint has acknowledged the message.
+    is_acknowledged: bool,
+    answer: oneshot::Sender<Result<Packet, Failure>>,
+}
+
+/// A feed's registration at the endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Leg {
+    key: Key,
+    /// Newest Observe value seen.
+    sequence: Option<u32>,
+    /// Monotonic time by which the next notification is due, milliseconds.
+    due_at_ms: u64,
+}
+
+impl Link {
+    /// Opens a socket from a fresh port.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    pub fn open(
+        local: std::net::IpAddr,
+        endpoint: id::Endpoint,
+        address: SocketAddr,
+    ) -> std::io::Result<Self> {
+        let socket = bind_udp(SocketAddr::new(local, 0))?;
+        socket.connect(address)?;
+        Ok(Self {
+            endpoint,
+            socket: UdpSocket::from_std(socket)?,
+            next_message_id: AtomicU16::new(rand::random()),
+            pending: Mutex::default(),
+            feeds: Mutex::default(),
+            heard_at_ms: AtomicU64::new(clock::monotonic_ms()),
+            is_refused: AtomicBool::new(false),
+        })
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub async fn exchange(&self, request: Packet, deadline: Instant) -> Result<Packet, Failure> {
+        self.exchange_as(rand::random(), request, deadline).await
+    }
+
+    /// Registers an observation; returns its token and the first answer.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no answer.
+    pub async fn register(
+        &self,
+        key: Key,
+        request: Packet,
+        deadline: Instant,
+    ) -> Result<(u64, Packet), Failure> {
+        let token = rand::random();
+        let leg = Leg {
+            key,
+            sequence: None,
+            due_at_ms: u64::MAX,
+        };
+        self.feeds.lock().unwrap().insert(token, leg);
+        let result = self.exchange_as(token, request, deadline).await;
+        let is_registered = result
+            .as_ref()
+            .is_ok_and(|answer| coap::observe(answer).is_some());
+        if is_registered {
+            self.note_notification(token, result.as_ref().ok());
+        } else {
+            self.feeds.lock().unwrap().remove(&token);
+        }
+        result.map(|answer| (token, answer))
+    }
+
+    /// Ends an observation: the next notification is answered with a reset, which a
+    /// server takes for a deregistration (RFC 7641, section 3.6).
+    pub async fn deregister(&self, token: u64) {
+        self.feeds.lock().unwrap().remove(&token);
+    }
+
+    /// Returns the feeds registered here.
+    pub fn legs(&self) -> Vec<(u64, Key)> {
+        let feeds = self.feeds.lock().unwrap();
+        feeds.iter().map(|(token, leg)| (*token, leg.key)).collect()
+    }
+
+    /// Returns the feeds whose representation is older than its Max-Age allows.
+    pub(super) fn overdue(&self, now_ms: u64) -> Vec<(u64, Key)> {
+        let feeds = self.feeds.lock().unwrap();
+        let overdue = feeds.iter().filter(|(_, leg)| leg.due_at_ms <= now_ms);
+        overdue.map(|(token, leg)| (*token, leg.key)).collect()
+    }
+
+    /// Returns the number of feeds registered here.
+    pub fn leg_count(&self) -> usize {
+        self.feeds.lock().unwrap().len()
+    }
+
+    /// Sends a CoAP ping, which any live server answers with a reset.
+    pub(super) fn ping(&self) {
+        let id = self.next_message_id.fetch_add(1, Ordering::Relaxed);
+        let ping = coap::empty(MessageType::Confirmable, id);
+        let _ = self.socket.try_send(&coap::encode(&ping));
+    }
+
+    /// Receives until the socket is no longer used.
+    pub(super) async fn run(self: Arc<Self>, node: Arc<Node>) {
+        let mut buffer = vec![0; MAX_DATAGRAM_LEN];
+        loop {
+            match self.socket.recv(&mut buffer).await {
+                Ok(len) => {
+                    let now_ms = clock::monotonic_ms();
+                    self.heard_at_ms.store(now_ms, Ordering::Relaxed);
+                    self.is_refused.store(false, Ordering::Relaxed);
+                    self.take(&node, &buffer[..len]);
+                }
+                // The port is closed: requests that nobody has acknowledged are lost.
+                Err(_) => {
+                    self.is_refused.store(true, Ordering::Relaxed);
+                    self.fail_unacknowledged();
+                }
+            }
+        }
+    }
+
+    async fn exchange_as(
+        &self,
+        token: u64,
+        mut request: Packet,
+        deadline: Instant,
+    ) -> Result<Packet, Failure> {
+        let id = self.next_message_id.fetch_add(1, Ordering::Relaxed);
+        request.header.message_id = id;
+        request.header.set_type(MessageType::Confirmable);
+        request.set_token(token.to_be_bytes().to_vec());
+        let datagram = coap::encode(&request);
+        let (answer, mut receiver) = oneshot::channel();
+        let pending = Pending {
+            message_id: id,
+            is_acknowledged: false,
+            answer,
+        };
+        self.pending.lock().unwrap().insert(token, pending);
+        let _guard = PendingGuard { link: self, token };
+        if self.socket.send(&datagram).await.is_err() && self.socket.send(&datagram).await.is_err()
+        {
+            return Err(Failure::NotSent);
+        }
+        let mut wait = ACK_TIMEOUT.mul_f64(rand::rng().random_range(1.0..1.5));
+        loop {
+            let resend_at = Instant::now() + wait;
+            wait *= 2;
+            let limit = resend_at.min(deadline);
+            if let Ok(result) = timeout_at(limit.into(), &mut receiver).await {
+                return result.unwrap_or(Err(Failure::Reset));
+            }
+            if Instant::now() >= deadline {
+                return Err(Failure::TimedOut);
+            }
+            if !self.is_acknowledged(token) {
+                counter!("ragwortbeam_backend_retransmissions_total").increment(1);
+                let _ = self.socket.try_send(&datagram);
+            }
+            sleep_until(resend_at.into()).await;
+        }
+    }
+
+    fn is_acknowledged(&self, token: u64) -> bool {
+        let pending = self.pending.lock().unwrap();
+        pending
+            .get(&token)
+            .is_some_and(|pending| pending.is_acknowledged)
+    }
+
+    fn take(&self, node: &Arc<Node>, datagram: &[u8]) {
+        let Ok(packet) = Packet::from_bytes(datagram) else {
+            counter!("ragwortbeam_backend_malformed_total").increment(1);
+            return;
+        };
+        match (packet.header.code, packet.header.get_type()) {
+            (MessageClass::Empty, MessageType::Acknowledgement) => {
+                self.acknowledge(packet.header.message_id);
+            }
+            (MessageClass::Empty, MessageType::Reset) => self.reset(packet.header.message_id),
+            (MessageClass::Response(_), _) => self.take_response(node, packet),
+            _ => {}
+        }
+    }
+
+    fn take_response(&self, node: &Arc<Node>, packet: Packet) {
+        let kind = packet.header.get_type();
+        let id = packet.header.message_id;
+        let is_wanted = self.deliver(node, packet);
+        if kind == MessageType::Confirmable {
+            let reply = if is_wanted {
+                MessageType::Acknowledgement
+            } else {
+                MessageType::Reset
+            };
+            self.reply(reply, id);
+        } else if kind == MessageType::NonConfirmable && !is_wanted {
+            self.reply(MessageType::Reset, id);
+        }
+    }
+
+    /// Gives a response to whoever waits for its token; returns whether somebody does.
+    fn deliver(&self, node: &Arc<Node>, packet: Packet) -> bool {
+        let Ok(token) = <[u8; 8]>::try_from(packet.get_token()) else {
+            return false;
+        };
+        let token = u64::from_be_bytes(token);
+        let waiting = self.pending.lock().unwrap().remove(&token);
+        if let Some(pending) = waiting {
+            // The request may have reached its deadline in the meantime.
+            return pending.answer.send(Ok(packet)).is_ok();
+        }
+        let Some(key) = self.note_notification(token, Some(&packet)) else {
+            return self.feeds.lock().unwrap().contains_key(&token);
+        };
+        node.notified(key, token, packet)
+    }
+
+    /// Notes a notification's order and age; `None` when it is unknown or outdated.
+    fn note_notification(&self, token: u64, packet: Option<&Packet>) -> Option<Key> {
+        let packet = packet?;
+        let mut feeds = self.feeds.lock().unwrap();
+        let leg = feeds.get_mut(&token)?;
+        let next = coap::observe(packet);
+        if let (Some(last), Some(next)) = (leg.sequence, next)
+            && !crate::dispatch::feed::is_newer(next, last)
+        {
+            return None;
+        }
+        leg.sequence = next;
+        let age_ms = coap::max_age_s(packet).saturating_mul(1000);
+        leg.due_at_ms = clock::monotonic_ms().saturating_add(age_ms);
+        Some(leg.key)
+    }
+
+    fn acknowledge(&self, message_id: u16) {
+        let mut pending = self.pending.lock().unwrap();
+        let acknowledged = pending
+            .values_mut()
+            .find(|pending| pending.message_id == message_id);
+        if let Some(pending) = acknowledged {
+            pending.is_acknowledged = true;
+        }
+    }
+
+    fn reset(&self, message_id: u16) {
+        self.fail(|pending| pending.message_id == message_id);
+    }
+
+    fn fail_unacknowledged(&self) {
+        self.fail(|pending| !pending.is_acknowledged);
+    }
+
+    fn fail(&self, fails: impl Fn(&Pending) -> bool) {
+        let mut pending = self.pending.lock().unwrap();
+        let failed: Vec<u64> = pending
+            .iter()
+            .filter(|(_, pending)| fails(pending))
+            .map(|(token, _)| *token)
+            .collect();
+        for token in failed {
+            if let Some(pending) = pending.remove(&token) {
+                let _ = pending.answer.send(Err(Failure::Reset));
+            }
+        }
+    }
+
+    fn reply(&self, kind: MessageType, message_id: u16) {
+        let _ = self
+            .socket
+            .try_send(&coap::encode(&coap::empty(kind, message_id)));
+    }
+}
+
+/// Forgets a request when its waiter is gone, so that a late answer is reset.
+struct PendingGuard<'a> {
+    link: &'a Link,
+    token: u64,
+}
+
+impl Drop for PendingGuard<'_> {
+    fn drop(&mut self) {
+        self.link.pending.lock().unwrap().remove(&self.token);
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/backend/links.rs
@@ -0,0 +1,80 @@
+//! All links of a VM.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use spdlog::warn;
+use tokio::task::JoinHandle;
+
+use super::Link;
+use super::keepalive;
+use crate::prelude::*;
+use crate::release::Service;
+
+/// Links by endpoint, opened on first use.
+#[derive(Debug, Default)]
+pub struct Links {
+    by_endpoint: Mutex<HashMap<id::Endpoint, Entry>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    link: Arc<Link>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl Links {
+    /// Returns the link to an endpoint of a service; `None` when the service has no
+    /// such endpoint, so that no packet reaches an endpoint of another service.
+    pub fn of(
+        &self,
+        node: &Arc<Node>,
+        service: &Service,
+        endpoint: id::Endpoint,
+    ) -> Option<Arc<Link>> {
+        let mut links = self.by_endpoint.lock().unwrap();
+        if let Some(entry) = links.get(&endpoint) {
+            return Some(entry.link.clone());
+        }
+        let address = service.endpoint(endpoint)?.address;
+        let link = self.open(node, endpoint, address)?;
+        let tasks = [
+            tokio::spawn(link.clone().run(node.clone())),
+            tokio::spawn(keepalive::run(node.clone(), service.id, link.clone())),
+        ];
+        let entry = Entry {
+            link: link.clone(),
+            tasks,
+        };
+        links.insert(endpoint, entry);
+        Some(link)
+    }
+
+    /// Drops a link; the next use opens another, from a fresh port.
+    pub fn close(&self, endpoint: id::Endpoint) {
+        self.by_endpoint.lock().unwrap().remove(&endpoint);
+    }
+
+    /// Returns the endpoints with a link.
+    pub fn endpoints(&self) -> Vec<id::Endpoint> {
+        self.by_endpoint.lock().unwrap().keys().copied().collect()
+    }
+
+    fn open(&self, node: &Node, endpoint: id::Endpoint, address: SocketAddr) -> Option<Arc<Link>> {
+        match Link::open(node.settings.peer_address.ip(), endpoint, address) {
+            Ok(link) => Some(Arc::new(link)),
+            Err(error) => {
+                warn!("event=link_failed endpoint={address} error=\"{error}\"");
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/commands.rs
@@ -0,0 +1,91 @@
+//! The command line.
+
+mod check;
+mod serve;
+mod status;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Exit code of a command that did what it was asked to.
+pub const EXIT_OK: u8 = 0;
+/// Exit code when something outside failed: a file, an address, another VM.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code when settings, a release or the arguments are wrong.
+pub const EXIT_WRONG: u8 = 2;
+/// Exit code of a stop that cut something off.
+pub const EXIT_CUT_OFF: u8 = 3;
+
+/// Layer-4 load balancer for small fleets of entry VMs.
+#[derive(FromArgs, Debug)]
+pub struct Arguments {
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+    #[argh(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Status(Status),
+}
+
+/// Run one VM's process until SIGTERM or SIGINT.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Check a settings file, or a release note against a snapshot.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// settings file
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// release note
+    #[argh(option)]
+    release: Option<PathBuf>,
+    /// snapshot that the release note follows
+    #[argh(option)]
+    after: Option<PathBuf>,
+}
+
+/// Print the status of VMs.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+struct Status {
+    /// admin addresses, IP:port
+    #[argh(positional)]
+    addresses: Vec<String>,
+    /// print JSON, one line for each VM
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs the command that the arguments name.
+pub fn run(arguments: Arguments) -> ExitCode {
+    if arguments.version {
+        println!("ragwortbeam {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::from(EXIT_OK);
+    }
+    let code = match arguments.command {
+        Some(Command::Serve(command)) => serve::run(&command.settings),
+        Some(Command::Check(command)) => check::run(&command),
+        Some(Command::Status(command)) => status::run(&command),
+        None => {
+            eprintln!("expected a command: serve, check or status; see --help");
+            EXIT_WRONG
+        }
+    };
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/commands/status.rs
@@ -0,0 +1,90 @@
+//! `ragwortbeam status`.
+
+use tokio::runtime::Runtime;
+
+use super::{EXIT_FAILED, EXIT_OK, EXIT_WRONG, Status};
+use crate::admin::Report;
+use crate::prelude::*;
+
+/// Time allowed for each VM's answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Prints the status of the VMs at the addresses; returns the exit code.
+pub fn run(command: &Status) -> u8 {
+    if command.addresses.is_empty() {
+        eprintln!("expected at least one admin address");
+        return EXIT_WRONG;
+    }
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("runtime: {error}");
+            return EXIT_FAILED;
+        }
+    };
+    if !command.json {
+        println!("{}", header());
+    }
+    let mut code = EXIT_OK;
+    for address in &command.addresses {
+        match runtime.block_on(fetch(address)) {
+            Ok(report) if command.json => {
+                println!(
+                    "{}",
+                    serde_json::to_string(&report).expect("a report encodes")
+                );
+            }
+            Ok(report) => println!("{}", row(&report)),
+            Err(error) => {
+                eprintln!("{address}: {error}");
+                code = EXIT_FAILED;
+            }
+        }
+    }
+    code
+}
+
+async fn fetch(address: &str) -> Result<Report> {
+    let response = reqwest::Client::new()
+        .get(format!("http://{address}/status"))
+        .timeout(TIMEOUT)
+        .send()
+        .await
+        .map_err(Error::admin)?;
+    response.json().await.map_err(Error::admin)
+}
+
+fn header() -> String {
+    format!(
+        "{:<16} {:<12} {:>8} {:>6} {:>8} {:>8} {:>8} {:>9} {}",
+        "VM",
+        "DATA CENTRE",
+        "RELEASE",
+        "OWNERS",
+        "FLOWS",
+        "REPLICAS",
+        "FEEDS",
+        "IN FLIGHT",
+        "REFUSALS"
+    )
+}
+
+fn row(report: &Report) -> String {
+    let refusals: Vec<String> = report
+        .refusals
+        .iter()
+        .map(|(reason, count)| format!("{reason}={count}"))
+        .collect();
+    format!(
+        "{:<16} {:<12} {:>8} {:>6} {:>8} {:>8} {:>8} {:>9} {}",
+        report.vm,
+        report.data_centre,
+        report.release,
+        report.owners,
+        report.flows,
+        report.replicas,
+        report.feeds,
+        report.in_flight,
+        refusals.join(" ")
+    )
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/dispatch/attempt.rs
@@ -0,0 +1,155 @@
+//! Attempts to have a request answered by endpoints, with retries.
+
+use std::time::Instant;
+
+use coap_lite::Packet;
+use metrics::counter;
+
+use super::pool::{End, Lease, Pool};
+use super::reserve::Permit;
+use crate::backend::Failure;
+use crate::prelude::*;
+use crate::refusal::{Reason, Refusal};
+use crate::release::Service;
+use crate::wire::coap;
+
+/// Most attempts at one request, the first included.
+const MAX_ATTEMPTS: usize = 3;
+
+/// What an attempt may do.
+#[derive(Debug)]
+pub struct Rules {
+    /// The request may run twice.
+    pub is_idempotent: bool,
+    /// End of the caller's patience.
+    pub deadline: Instant,
+    /// Right to dispatch, for a request that may not run twice.
+    pub permit: Option<Permit>,
+    /// Endpoint that has to serve the request.
+    pub pinned: Option<id::Endpoint>,
+}
+
+/// An answer and the endpoint that gave it.
+#[derive(Debug)]
+pub struct Answer {
+    /// The answer, addressed to this VM.
+    pub packet: Packet,
+    /// Endpoint.
+    pub endpoint: id::Endpoint,
+}
+
+/// Dispatches a request until it is answered or may not be tried again.
+///
+/// Each attempt goes to another endpoint.
+///
+/// # Errors
+///
+/// The refusal to answer with.
+pub async fn run(
+    node: &Arc<Node>,
+    service: &Service,
+    request: &Packet,
+    rules: &mut Rules,
+) -> Result<Answer, Refusal> {
+    let pool = node.pools.of(node, service.id);
+    pool.retries.earn();
+    let mut tried = Vec::new();
+    let mut refusal = Refusal::not_run(Reason::NoEndpoint);
+    while tried.len() < MAX_ATTEMPTS {
+        if !tried.is_empty() && !pool.retries.spend() {
+            counter!("ragwortbeam_retries_denied_total").increment(1);
+            break;
+        }
+        let lease = match lease(node, &pool, service, &tried, rules).await {
+            Ok(lease) => lease,
+            Err(_) if !tried.is_empty() => break,
+            Err(reason) => return Err(Refusal::not_run(reason)),
+        };
+        if !tried.is_empty() {
+            let reason = refusal.reason.to_string();
+            counter!("ragwortbeam_retries_total", "reason" => reason).increment(1);
+        }
+        if let Some(permit) = &mut rules.permit {
+            permit.renew(node).await?;
+        }
+        if Instant::now() >= rules.deadline {
+            let reason = Reason::DeadlineQueued;
+            return Err(Refusal { reason, ..refusal });
+        }
+        tried.push(lease.endpoint);
+        match once(node, service, request, rules, lease).await {
+            Ok(answer) => return Ok(answer),
+            Err(next) => refusal = worst(refusal, next),
+        }
+        let may_retry = rules.is_idempotent || refusal.verdict == Verdict::NotRun;
+        if !may_retry || rules.pinned.is_some() || Instant::now() >= rules.deadline {
+            break;
+        }
+    }
+    Err(refusal)
+}
+
+async fn lease(
+    node: &Node,
+    pool: &Arc<Pool>,
+    service: &Service,
+    tried: &[id::Endpoint],
+    rules: &Rules,
+) -> Result<Lease, Reason> {
+    if let Some(endpoint) = rules.pinned.and_then(|pinned| service.endpoint(pinned)) {
+        return Ok(pool.take_at(endpoint.id, endpoint.slots));
+    }
+    let data_centre = &node.settings.data_centre;
+    pool.acquire(service, data_centre, tried, rules.deadline)
+        .await
+}
+
+async fn once(
+    node: &Arc<Node>,
+    service: &Service,
+    request: &Packet,
+    rules: &Rules,
+    lease: Lease,
+) -> Result<Answer, Refusal> {
+    let endpoint = lease.endpoint;
+    let Some(link) = node.links.of(node, service, endpoint) else {
+        return Err(Refusal::not_run(Reason::NoEndpoint));
+    };
+    let mut request = request.clone();
+    let remaining = rules.deadline.saturating_duration_since(Instant::now());
+    coap::set_deadline_ms(&mut request, remaining.as_millis() as u64);
+    match link.exchange(request, rules.deadline).await {
+        Ok(packet) if coap::is_shed(&packet) => {
+            lease.finish(End::Shed);
+            Err(Refusal::not_run(Reason::Shed))
+        }
+        Ok(packet) => {
+            lease.finish(End::Served);
+            Ok(Answer { packet, endpoint })
+        }
+        Err(Failure::NotSent) => {
+            lease.finish(End::Failed);
+            Err(Refusal::not_run(Reason::BackendReset))
+        }
+        Err(Failure::Reset) => {
+            lease.finish(End::Failed);
+            Err(Refusal::may_have_run(Reason::BackendReset))
+        }
+        Err(Failure::TimedOut) => {
+            lease.finish(End::Failed);
+            Err(Refusal::may_have_run(Reason::DeadlineDispatched))
+        }
+    }
+}
+
+/// Joins the refusals of two attempts: a request that may have run once may have run.
+fn worst(before: Refusal, next: Refusal) -> Refusal {
+    if before.verdict == Verdict::MayHaveRun {
+        Refusal {
+            reason: next.reason,
+            verdict: Verdict::MayHaveRun,
+        }
+    } else {
+        next
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/dispatch/feed.rs
@@ -0,0 +1,254 @@
+//! Feeds: observations of callers (RFC 7641) and their registrations at endpoints.
+
+use std::time::Instant;
+
+use coap_lite::Packet;
+use metrics::counter;
+use spdlog::{info, warn};
+use tokio::time::sleep;
+
+use super::pool::{End, Lease};
+use crate::clock;
+use crate::flow::record::Feed;
+use crate::flow::{Key, replication};
+use crate::prelude::*;
+use crate::refusal::{Reason, Refusal};
+use crate::release::Service;
+use crate::wire::coap::{self, Token};
+
+/// Time allowed for one registration at an endpoint that replaces an earlier one.
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause between attempts to register a feed again.
+const REGISTER_PAUSE: Duration = Duration::from_millis(250);
+
+/// Attempts to register a feed again before it is left to the next sweep.
+const REGISTER_ATTEMPTS: usize = 20;
+
+/// Width of the Observe value (RFC 7641, section 3.4).
+const SEQUENCE_MASK: u32 = 0x00ff_ffff;
+
+/// A registration that an endpoint has accepted or answered plainly.
+struct Registration {
+    answer: Packet,
+    endpoint: id::Endpoint,
+    leg: u64,
+}
+
+/// Registers a caller's observation at an endpoint and returns the first answer.
+///
+/// # Errors
+///
+/// The refusal to answer with; a registration is idempotent.
+pub async fn register(
+    node: &Arc<Node>,
+    service: &Service,
+    key: Key,
+    request: &Packet,
+    deadline: Instant,
+) -> Result<Packet, Refusal> {
+    let token = Token::new(request.get_token());
+    deregister(node, key, request);
+    let mut registration = register_anywhere(node, service, key, request, &[], deadline).await?;
+    if coap::observe(&registration.answer).is_none() {
+        return Ok(registration.answer);
+    }
+    let sequence = next_sequence(0);
+    let feed = Feed {
+        token,
+        request: coap::encode(request).into(),
+        endpoint: registration.endpoint,
+        leg: Some(registration.leg),
+        sequence,
+        last_message_id: request.header.message_id,
+        confirmed_at_ms: clock::monotonic_ms(),
+        unconfirmed: None,
+    };
+    let added = node
+        .flows
+        .with_or_open(key, |record| record.soft_mut().feeds.push(feed));
+    if added.is_err() {
+        end_leg(node, key.service, registration.endpoint, registration.leg);
+        return Err(Refusal::not_run(Reason::FlowsFull));
+    }
+    registration.answer.set_observe_value(sequence);
+    counter!("ragwortbeam_feeds_opened_total").increment(1);
+    replication::copy_now(node, key).await;
+    Ok(registration.answer)
+}
+
+/// Ends the caller's observation with the request's token, if there is one.
+pub fn deregister(node: &Arc<Node>, key: Key, request: &Packet) {
+    drop_feed(node, key, Token::new(request.get_token()));
+}
+
+/// Ends an observation here and at its endpoint.
+pub fn drop_feed(node: &Arc<Node>, key: Key, token: Token) {
+    let removed = node.flows.with(key, |record| record.remove_feed(token));
+    let Some(feed) = removed.flatten() else {
+        return;
+    };
+    counter!("ragwortbeam_feeds_closed_total").increment(1);
+    node.replicas.push(key);
+    if let Some(leg) = feed.leg {
+        end_leg(node, key.service, feed.endpoint, leg);
+    }
+}
+
+/// Ends a registration at an endpoint, without waiting for it.
+pub fn end_leg(node: &Arc<Node>, service: id::Service, endpoint: id::Endpoint, leg: u64) {
+    let state = node.releases.state();
+    let Some(service) = state.service(service) else {
+        return;
+    };
+    if let Some(link) = node.links.of(node, service, endpoint) {
+        tokio::spawn(async move { link.deregister(leg).await });
+    }
+}
+
+/// Registers a feed at an endpoint other than `avoided` and forwards its answer to the
+/// caller as a notification; the earlier registration ends only then.
+pub async fn register_again(
+    node: &Arc<Node>,
+    key: Key,
+    token: Token,
+    avoided: Option<id::Endpoint>,
+) {
+    for _ in 0..REGISTER_ATTEMPTS {
+        let feed = node.flows.with(key, |record| {
+            let is_owned = record.is_owned;
+            record.feed_mut(token).filter(|_| is_owned).cloned()
+        });
+        let Some(feed) = feed.flatten() else {
+            return;
+        };
+        if try_register_again(node, key, &feed, avoided).await {
+            return;
+        }
+        sleep(REGISTER_PAUSE).await;
+    }
+    warn!("event=feed_without_endpoint caller={}", key.caller);
+}
+
+async fn try_register_again(
+    node: &Arc<Node>,
+    key: Key,
+    feed: &Feed,
+    avoided: Option<id::Endpoint>,
+) -> bool {
+    let state = node.releases.state();
+    let Some(service) = state.service(key.service) else {
+        return false;
+    };
+    let Ok(request) = coap::decode(&feed.request) else {
+        return true;
+    };
+    let deadline = Instant::now() + REGISTER_TIMEOUT;
+    let excluded: Vec<id::Endpoint> = avoided.into_iter().collect();
+    let registered = register_anywhere(node, service, key, &request, &excluded, deadline).await;
+    let registration = match registered {
+        Ok(registration) if coap::observe(&registration.answer).is_some() => registration,
+        _ => return false,
+    };
+    let (endpoint, leg) = (registration.endpoint, registration.leg);
+    let replaced = node.flows.with(key, |record| {
+        if !record.is_owned {
+            return None;
+        }
+        let feed = record.feed_mut(feed.token)?;
+        let before = feed.leg.replace(leg).map(|leg| (feed.endpoint, leg));
+        feed.endpoint = endpoint;
+        Some(before)
+    });
+    let Some(Some(before)) = replaced else {
+        // The caller has ended the feed, or another VM serves it by now.
+        end_leg(node, key.service, endpoint, leg);
+        return true;
+    };
+    if let Some((endpoint, leg)) = before {
+        end_leg(node, key.service, endpoint, leg);
+    }
+    counter!("ragwortbeam_feeds_moved_total").increment(1);
+    info!("event=feed_moved caller={} endpoint={endpoint}", key.caller);
+    node.replicas.push(key);
+    super::notify::notified(node, key, leg, registration.answer);
+    true
+}
+
+async fn register_anywhere(
+    node: &Arc<Node>,
+    service: &Service,
+    key: Key,
+    request: &Packet,
+    excluded: &[id::Endpoint],
+    deadline: Instant,
+) -> Result<Registration, Refusal> {
+    let pool = node.pools.of(node, service.id);
+    let mut tried = excluded.to_vec();
+    let mut refusal = Refusal::not_run(Reason::NoEndpoint);
+    loop {
+        let data_centre = &node.settings.data_centre;
+        let acquired = pool.acquire(service, data_centre, &tried, deadline).await;
+        let lease = match acquired {
+            Ok(lease) => lease,
+            Err(_) if tried.len() > excluded.len() => return Err(refusal),
+            Err(reason) => return Err(Refusal::not_run(reason)),
+        };
+        tried.push(lease.endpoint);
+        match register_at(node, service, key, request, lease, deadline).await {
+            Ok(registration) => return Ok(registration),
+            Err(next) => refusal = next,
+        }
+    }
+}
+
+async fn register_at(
+    node: &Arc<Node>,
+    service: &Service,
+    key: Key,
+    request: &Packet,
+    lease: Lease,
+    deadline: Instant,
+) -> Result<Registration, Refusal> {
+    let endpoint = lease.endpoint;
+    let Some(link) = node.links.of(node, service, endpoint) else {
+        return Err(Refusal::not_run(Reason::NoEndpoint));
+    };
+    let attempt_deadline = deadline.min(Instant::now() + REGISTER_TIMEOUT);
+    match link.register(key, request.clone(), attempt_deadline).await {
+        Ok((leg, answer)) if !coap::is_shed(&answer) => {
+            lease.finish(End::Served);
+            Ok(Registration {
+                answer,
+                endpoint,
+                leg,
+            })
+        }
+        Ok(_) => {
+            lease.finish(End::Shed);
+            Err(Refusal::not_run(Reason::Shed))
+        }
+        Err(_) => {
+            lease.finish(End::Failed);
+            Err(Refusal::may_have_run(Reason::BackendReset))
+        }
+    }
+}
+
+/// Returns the Observe value that follows `last` and, once the feed has moved between
+/// VMs, also what the other VM sent: it is the wall clock's milliseconds unless that
+/// is no newer than `last` (RFC 7641, section 4.4).
+pub fn next_sequence(last: u32) -> u32 {
+    let clock = clock::wall_ms() as u32 & SEQUENCE_MASK;
+    if last == 0 || is_newer(clock, last) {
+        clock
+    } else {
+        (last + 1) & SEQUENCE_MASK
+    }
+}
+
+/// Returns whether Observe value `next` is newer than `last` (RFC 7641, section 3.4).
+pub fn is_newer(next: u32, last: u32) -> bool {
+    let distance = next.wrapping_sub(last) & SEQUENCE_MASK;
+    distance != 0 && distance < SEQUENCE_MASK / 2
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/flow/handover.rs
@@ -0,0 +1,230 @@
+//! Moves of records between VMs when ownership changes.
+
+use std::collections::HashMap;
+
+use metrics::counter;
+use spdlog::{info, warn};
+use tokio::time::{interval, sleep};
+
+use super::replication::RECORDS_PER_CALL;
+use super::{Key, Record};
+use crate::dispatch::feed;
+use crate::membership::View;
+use crate::message::{FlowRecord, Records};
+use crate::prelude::*;
+
+/// Pause before a view change is acted on, so that changes that come together are
+/// handled together.
+const SETTLE: Duration = Duration::from_millis(20);
+
+/// How often moves that failed are tried again.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often idle records are dropped.
+const IDLE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// What a change of the view asks for.
+#[derive(Debug, Default)]
+struct Moves {
+    /// Records to hand to another owner.
+    away: HashMap<id::Vm, Vec<Key>>,
+    /// Copies whose flows this VM owns from now on.
+    here: Vec<Key>,
+    /// Owned records whose replica is another VM from now on.
+    copies: Vec<Key>,
+}
+
+/// Follows the view for the life of the node.
+pub async fn run(node: Arc<Node>) {
+    let mut views = node.members.watch();
+    let mut retry = interval(RETRY_INTERVAL);
+    let mut idle = interval(IDLE_INTERVAL);
+    let mut before = node.members.view();
+    loop {
+        tokio::select! {
+            changed = views.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                sleep(SETTLE).await;
+                views.mark_unchanged();
+            }
+            _ = retry.tick() => {}
+            _ = idle.tick() => {
+                let idle_ms = node.settings.limits.flow_idle.as_millis() as u64;
+                node.flows.drop_idle(idle_ms);
+                continue;
+            }
+        }
+        let view = node.members.view();
+        carry_out(&node, plan(&node, &before, &view)).await;
+        before = view;
+    }
+}
+
+/// Hands all records over before this VM stops; returns how many are left.
+pub async fn hand_over_all(node: &Arc<Node>) -> usize {
+    let view = node.members.view();
+    let moves = plan(node, &view, &view);
+    let left: usize = moves.away.values().map(Vec::len).sum();
+    if left > 0 {
+        carry_out(node, moves).await;
+    }
+    let view = node.members.view();
+    plan(node, &view, &view).away.values().map(Vec::len).sum()
+}
+
+/// Compares each record's place with what the view says.
+fn plan(node: &Arc<Node>, before: &View, view: &View) -> Moves {
+    let mut moves = Moves::default();
+    let owners_changed = before.owners != view.owners;
+    node.flows.keys(|record| {
+        if record.soft.is_none() && record.endpoint.is_none() {
+            return false;
+        }
+        let hash = record.key.hash();
+        let Some(rank) = view.rank(hash) else {
+            return false;
+        };
+        if record.is_owned && rank.first != view.me {
+            moves.away.entry(rank.first).or_default().push(record.key);
+        } else if !record.is_owned && rank.first == view.me {
+            moves.here.push(record.key);
+        } else if record.is_owned
+            && owners_changed
+            && record.soft.is_some()
+            && before.replica(hash) != view.replica(hash)
+        {
+            moves.copies.push(record.key);
+        }
+        false
+    });
+    moves
+}
+
+async fn carry_out(node: &Arc<Node>, moves: Moves) {
+    for key in &moves.copies {
+        node.replicas.push(*key);
+    }
+    if !moves.here.is_empty() {
+        counter!("ragwortbeam_flows_taken_over_total").increment(moves.here.len() as u64);
+        info!("event=flows_taken_over flows={}", moves.here.len());
+        adopt(node, &moves.here).await;
+    }
+    for (owner, keys) in moves.away {
+        for keys in keys.chunks(RECORDS_PER_CALL) {
+            hand_over(node, owner, keys).await;
+        }
+    }
+}
+
+async fn hand_over(node: &Arc<Node>, owner: id::Vm, keys: &[Key]) {
+    let mut sent = Vec::new();
+    let mut records: Vec<FlowRecord> = Vec::with_capacity(keys.len());
+    for key in keys {
+        node.flows.with(*key, |record| {
+            records.push(record.to_message());
+            sent.push(*key);
+        });
+    }
+    let message = Records {
+        sender: node.members.view().me.0,
+        records,
+    };
+    match node.peers.links.hand_over(owner, message).await {
+        Ok(answer) => {
+            counter!("ragwortbeam_flows_handed_over_total").increment(u64::from(answer.taken));
+            for key in sent {
+                release(node, key).await;
+            }
+        }
+        Err(error) => {
+            warn!(
+                "event=handover_failed vm={owner} flows={} error=\"{error}\"",
+                keys.len()
+            );
+        }
+    }
+}
+
+/// Turns a record that another VM now serves into a copy and ends its registrations.
+async fn release(node: &Arc<Node>, key: Key) {
+    let legs = node.flows.with(key, |record| {
+        record.is_owned = false;
+        let feeds = record.soft.iter_mut().flat_map(|soft| &mut soft.feeds);
+        feeds
+            .filter_map(|feed| Some((feed.endpoint, feed.leg.take()?)))
+            .collect::<Vec<_>>()
+    });
+    for (endpoint, leg) in legs.unwrap_or_default() {
+        feed::end_leg(node, key.service, endpoint, leg);
+    }
+}
+
+/// Takes over records that another VM hands over; returns how many were taken.
+pub async fn adopt_all(node: &Arc<Node>, records: Records) -> u32 {
+    let mut keys = Vec::with_capacity(records.records.len());
+    for message in &records.records {
+        let Some(key) = message.key.as_ref().and_then(Key::from_message) else {
+            continue;
+        };
+        let is_known = node.flows.with(key, |record| record.is_owned) == Some(true);
+        let merged = node.flows.with_or_open(key, |record| {
+            if is_known {
+                merge_into_owned(record, message);
+            } else {
+                record.merge(message);
+            }
+        });
+        if merged.is_ok() {
+            keys.push(key);
+        }
+    }
+    adopt(node, &keys).await;
+    keys.len() as u32
+}
+
+/// Joins a handed-over record with one that this VM opened in the meantime.
+fn merge_into_owned(record: &mut Record, message: &FlowRecord) {
+    let mut other = Record::new(record.key);
+    other.merge(message);
+    let Some(theirs) = other.soft else {
+        return;
+    };
+    let soft = record.soft_mut();
+    for exchange in theirs.exchanges {
+        soft.merge_exchange(exchange);
+    }
+    for feed in theirs.feeds {
+        if soft.feeds.iter().all(|known| known.token != feed.token) {
+            soft.feeds.push(feed);
+        }
+    }
+}
+
+/// Serves these records from now on and registers their feeds.
+async fn adopt(node: &Arc<Node>, keys: &[Key]) {
+    let mut registrations = Vec::new();
+    for key in keys {
+        let tokens = node.flows.with(*key, |record| {
+            record.is_owned = true;
+            let feeds = record.soft.iter().flat_map(|soft| &soft.feeds);
+            feeds
+                .filter(|feed| feed.leg.is_none())
+                .map(|feed| feed.token)
+                .collect::<Vec<_>>()
+        });
+        for token in tokens.unwrap_or_default() {
+            let node = node.clone();
+            let key = *key;
+            registrations.push(tokio::spawn(async move {
+                feed::register_again(&node, key, token, None).await;
+            }));
+        }
+        node.replicas.push(*key);
+    }
+    for registration in registrations {
+        // A panic in one registration leaves its feed to the retry of the next sweep.
+        let _ = registration.await;
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/flow/mod.rs
@@ -0,0 +1,13 @@
+//! Flows: their records, owners, replicas and moves between VMs.
+
+pub mod exchange;
+pub mod handover;
+pub mod key;
+pub mod record;
+pub mod replication;
+pub mod route;
+mod table;
+
+pub use key::Key;
+pub use record::Record;
+pub use table::Table;
--- /dev/null
+++ b/crates/ragwortbeam/src/flow/record.rs
@@ -0,0 +1,269 @@
+//! The record of one flow.
+
+use std::sync::Arc;
+
+use crate::clock;
+use crate::flow::Key;
+use crate::flow::exchange::{Exchange, Progress};
+use crate::id;
+use crate::message::{ExchangeRecord, FeedRecord, FlowRecord, TransferRecord};
+use crate::wire::coap::Token;
+
+/// Added to the next message id when a replica takes over, so that ids the lost owner
+/// used after the last copy are not used again.
+const TAKEOVER_MESSAGE_IDS: u16 = 4096;
+
+/// One flow, on its owner or its replica.
+///
+/// An idle flow is only this record; it has no task, timer or socket.
+#[derive(Debug)]
+pub struct Record {
+    /// Caller and service.
+    pub key: Key,
+    /// True where the flow is served; false for a replica's copy.
+    pub is_owned: bool,
+    /// Endpoint a datagram flow is bound to.
+    pub endpoint: Option<id::Endpoint>,
+    /// Monotonic time of the last packet, milliseconds.
+    pub used_at_ms: u64,
+    /// Next message id towards the caller.
+    pub next_message_id: u16,
+    /// State that a new owner cannot derive from the packets; `None` when there is none.
+    pub soft: Option<Box<Soft>>,
+}
+
+/// State that has to reach the flow's next owner.
+#[derive(Debug, Default)]
+pub struct Soft {
+    /// Observations; tokens are unique.
+    pub feeds: Vec<Feed>,
+    /// Exchanges in progress, and non-idempotent ones until their lifetime ends.
+    pub exchanges: Vec<Exchange>,
+    /// Block-wise transfers; resources are unique.
+    pub transfers: Vec<Transfer>,
+}
+
+/// An observation (RFC 7641).
+#[derive(Clone, Debug)]
+pub struct Feed {
+    /// Caller's token.
+    pub token: Token,
+    /// The caller's registration, encoded.
+    pub request: Arc<[u8]>,
+    /// Endpoint that feeds it.
+    pub endpoint: id::Endpoint,
+    /// Token towards the endpoint; `None` where no registration is active.
+    pub leg: Option<u64>,
+    /// Last Observe value sent to the caller.
+    pub sequence: u32,
+    /// Message id of the last notification.
+    pub last_message_id: u16,
+    /// Monotonic time of the caller's last confirmation, milliseconds.
+    pub confirmed_at_ms: u64,
+    /// Confirmable notification that waits for its acknowledgement.
+    pub unconfirmed: Option<Arc<[u8]>>,
+}
+
+/// A block-wise transfer (RFC 7959), whose blocks all come from one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// Hash of the resource's path and query.
+    pub resource: u64,
+    /// Endpoint that served the first block.
+    pub endpoint: id::Endpoint,
+}
+
+impl Record {
+    /// Returns a record with no state.
+    pub fn new(key: Key) -> Self {
+        Self {
+            key,
+            is_owned: true,
+            endpoint: None,
+            used_at_ms: clock::monotonic_ms(),
+            next_message_id: rand::random(),
+            soft: None,
+        }
+    }
+
+    /// Returns the soft state, creating it where there is none.
+    pub fn soft_mut(&mut self) -> &mut Soft {
+        self.soft.get_or_insert_default()
+    }
+
+    /// Frees the soft state when it is empty.
+    pub fn trim(&mut self) {
+        if self.soft.as_ref().is_some_and(|soft| soft.is_empty()) {
+            self.soft = None;
+        }
+    }
+
+    /// Returns the feed with the caller's token.
+    pub fn feed_mut(&mut self, token: Token) -> Option<&mut Feed> {
+        let feeds = &mut self.soft.as_mut()?.feeds;
+        feeds.iter_mut().find(|feed| feed.token == token)
+    }
+
+    /// Returns the feed with this token towards its endpoint.
+    pub fn feed_by_leg_mut(&mut self, leg: u64) -> Option<&mut Feed> {
+        let feeds = &mut self.soft.as_mut()?.feeds;
+        feeds.iter_mut().find(|feed| feed.leg == Some(leg))
+    }
+
+    /// Removes the feed with the caller's token.
+    pub fn remove_feed(&mut self, token: Token) -> Option<Feed> {
+        let feeds = &mut self.soft.as_mut()?.feeds;
+        let position = feeds.iter().position(|feed| feed.token == token)?;
+        let feed = feeds.swap_remove(position);
+        self.trim();
+        Some(feed)
+    }
+
+    /// Takes the next message id towards the caller.
+    pub fn take_message_id(&mut self) -> u16 {
+        let id = self.next_message_id;
+        self.next_message_id = id.wrapping_add(1);
+        id
+    }
+
+    /// Encodes what another VM needs. Idempotent exchanges stay out: the caller's
+    /// retransmission starts them again.
+    pub fn to_message(&self) -> FlowRecord {
+        let empty = Soft::default();
+        let soft = self.soft.as_deref().unwrap_or(&empty);
+        let now_ms = clock::monotonic_ms();
+        FlowRecord {
+            key: Some(self.key.to_message()),
+            endpoint: self.endpoint.map_or(0, |endpoint| endpoint.0),
+            next_message_id: u32::from(self.next_message_id),
+            feeds: soft.feeds.iter().map(Feed::to_message).collect(),
+            exchanges: soft
+                .exchanges
+                .iter()
+                .filter(|exchange| !exchange.is_idempotent)
+                .map(|exchange| exchange.to_message(now_ms))
+                .collect(),
+            transfers: soft
+                .transfers
+                .iter()
+                .copied()
+                .map(Transfer::to_message)
+                .collect(),
+        }
+    }
+
+    /// Merges what another VM sent: feeds and transfers are replaced, exchanges joined.
+    pub fn merge(&mut self, message: &FlowRecord) {
+        if message.endpoint != 0 {
+            self.endpoint = Some(id::Endpoint(message.endpoint));
+        }
+        self.next_message_id = (message.next_message_id as u16).wrapping_add(TAKEOVER_MESSAGE_IDS);
+        let now_ms = clock::monotonic_ms();
+        let soft = self.soft_mut();
+        soft.feeds = message.feeds.iter().map(Feed::from_message).collect();
+        soft.transfers = message
+            .transfers
+            .iter()
+            .map(Transfer::from_message)
+            .collect();
+        for exchange in &message.exchanges {
+            soft.merge_exchange(Exchange::from_message(exchange, now_ms));
+        }
+        self.trim();
+    }
+}
+
+impl Soft {
+    fn is_empty(&self) -> bool {
+        self.feeds.is_empty() && self.exchanges.is_empty() && self.transfers.is_empty()
+    }
+
+    /// Adds an exchange, or the answer to one that is known without.
+    pub fn merge_exchange(&mut self, exchange: Exchange) {
+        let known = self
+            .exchanges
+            .iter_mut()
+            .find(|known| known.message_id == exchange.message_id);
+        match known {
+            None => self.exchanges.push(exchange),
+            Some(known) => {
+                if let (Progress::Held(_), Progress::Answered(_)) =
+                    (&known.progress, &exchange.progress)
+                {
+                    known.progress = exchange.progress;
+                }
+            }
+        }
+    }
+}
+
+impl Feed {
+    fn to_message(&self) -> FeedRecord {
+        FeedRecord {
+            token: self.token.as_bytes().to_vec(),
+            request: self.request.to_vec(),
+            endpoint: self.endpoint.0,
+            sequence: self.sequence,
+        }
+    }
+
+    fn from_message(message: &FeedRecord) -> Self {
+        Self {
+            token: Token::new(&message.token),
+            request: message.request.clone().into(),
+            endpoint: id::Endpoint(message.endpoint),
+            leg: None,
+            sequence: message.sequence,
+            last_message_id: 0,
+            confirmed_at_ms: clock::monotonic_ms(),
+            unconfirmed: None,
+        }
+    }
+}
+
+impl Transfer {
+    fn to_message(self) -> TransferRecord {
+        TransferRecord {
+            resource: self.resource,
+            endpoint: self.endpoint.0,
+        }
+    }
+
+    fn from_message(message: &TransferRecord) -> Self {
+        Self {
+            resource: message.resource,
+            endpoint: id::Endpoint(message.endpoint),
+        }
+    }
+}
+
+impl Exchange {
+    fn to_message(&self, now_ms: u64) -> ExchangeRecord {
+        let (answer, holder) = match &self.progress {
+            // Only idempotent exchanges run without a holder, and they are not sent.
+            Progress::Running => (Vec::new(), 0),
+            Progress::Held(holder) => (Vec::new(), holder.0),
+            Progress::Answered(answer) => (answer.to_vec(), 0),
+        };
+        ExchangeRecord {
+            message_id: u32::from(self.message_id),
+            answer,
+            holder,
+            age_ms: now_ms.saturating_sub(self.started_at_ms) as u32,
+        }
+    }
+
+    pub(super) fn from_message(message: &ExchangeRecord, now_ms: u64) -> Self {
+        let progress = if message.answer.is_empty() {
+            Progress::Held(id::Vm(message.holder))
+        } else {
+            Progress::Answered(message.answer.clone().into())
+        };
+        Self {
+            message_id: message.message_id as u16,
+            is_idempotent: false,
+            progress,
+            started_at_ms: now_ms.saturating_sub(u64::from(message.age_ms)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/flow/replication.rs
@@ -0,0 +1,181 @@
+//! Soft copies of records on the VM ranked next for each flow.
+
+use std::collections::{HashMap, HashSet};
+
+use metrics::counter;
+use prost::Message;
+use spdlog::debug;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use super::exchange::{Exchange, Progress, Start};
+use super::{Key, Record};
+use crate::clock;
+use crate::message::{ExchangeRecord, FlowRecord, Records, Reservation, ReservationAnswer};
+use crate::prelude::*;
+
+/// Time over which changes are collected into one batch.
+const BATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Most records in one call.
+pub const RECORDS_PER_CALL: usize = 256;
+
+/// Time a feed registration waits for its copy.
+const COPY_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Queue of changed flows towards the replication task.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    changed: mpsc::UnboundedSender<Key>,
+}
+
+impl Queue {
+    /// Returns a queue and its receiving end for [`run`].
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Key>) {
+        let (changed, receiver) = mpsc::unbounded_channel();
+        (Self { changed }, receiver)
+    }
+
+    /// Has the flow's record copied with the next batch.
+    pub fn push(&self, key: Key) {
+        // The task ends only with the process.
+        let _ = self.changed.send(key);
+    }
+}
+
+/// Copies changed records in batches for the life of the node.
+pub async fn run(node: Arc<Node>, mut changed: mpsc::UnboundedReceiver<Key>) {
+    while let Some(first) = changed.recv().await {
+        sleep(BATCH_INTERVAL).await;
+        let mut keys = HashSet::from([first]);
+        while let Ok(key) = changed.try_recv() {
+            keys.insert(key);
+        }
+        copy(&node, keys).await;
+    }
+}
+
+/// Copies one record and waits for its replica, so that what the caller is told next
+/// survives this VM.
+pub async fn copy_now(node: &Arc<Node>, key: Key) {
+    let copied = timeout(COPY_TIMEOUT, copy(node, HashSet::from([key]))).await;
+    if copied.is_err() {
+        node.replicas.push(key);
+    }
+}
+
+async fn copy(node: &Arc<Node>, keys: HashSet<Key>) {
+    let view = node.members.view();
+    let mut batches: HashMap<id::Vm, Vec<FlowRecord>> = HashMap::new();
+    for key in keys {
+        let Some(replica) = view.replica(key.hash()) else {
+            continue;
+        };
+        let record = node
+            .flows
+            .with(key, |record| record.is_owned.then(|| record.to_message()))
+            .unwrap_or_else(|| Some(removed(key)));
+        if let Some(record) = record {
+            batches.entry(replica).or_default().push(record);
+        }
+    }
+    for (replica, records) in batches {
+        for records in records.chunks(RECORDS_PER_CALL) {
+            send(node, replica, records.to_vec()).await;
+        }
+    }
+}
+
+async fn send(node: &Arc<Node>, replica: id::Vm, records: Vec<FlowRecord>) {
+    let records = Records {
+        sender: node.members.view().me.0,
+        records,
+    };
+    counter!("ragwortbeam_replica_records_sent_total").increment(records.records.len() as u64);
+    counter!("ragwortbeam_replica_bytes_sent_total").increment(records.encoded_len() as u64);
+    if let Err(error) = node.peers.links.replicate(replica, records).await {
+        debug!("event=replicate_failed vm={replica} error=\"{error}\"");
+    }
+}
+
+fn removed(key: Key) -> FlowRecord {
+    FlowRecord {
+        key: Some(key.to_message()),
+        ..Default::default()
+    }
+}
+
+/// Stores copies that another VM sent; returns how many were taken.
+///
+/// A record that this VM serves itself only learns exchanges.
+pub fn store(node: &Arc<Node>, records: Records) -> u32 {
+    let mut taken = 0;
+    for message in &records.records {
+        let Some(key) = message.key.as_ref().and_then(Key::from_message) else {
+            continue;
+        };
+        if open_copy(node, key, |record| store_copy(record, message)) {
+            taken += 1;
+        }
+    }
+    taken
+}
+
+fn store_copy(record: &mut Record, message: &FlowRecord) {
+    if record.is_owned {
+        let now_ms = clock::monotonic_ms();
+        for exchange in &message.exchanges {
+            let exchange = Exchange::from_message(exchange, now_ms);
+            record.soft_mut().merge_exchange(exchange);
+        }
+        record.trim();
+    } else {
+        record.merge(message);
+    }
+}
+
+/// Records a reservation unless the exchange is known; `None` when it names no flow.
+pub fn record(node: &Arc<Node>, reservation: &Reservation) -> Option<ReservationAnswer> {
+    let key = Key::from_message(reservation.key.as_ref()?)?;
+    let holder = id::Vm(reservation.holder);
+    let message_id = reservation.message_id as u16;
+    let mut answer = ReservationAnswer {
+        granted: false,
+        known: None,
+    };
+    open_copy(node, key, |record| {
+        match record.start(message_id, false, holder) {
+            // The holder's own repeated reservation is idempotent.
+            Start::New => answer.granted = true,
+            Start::Duplicate if is_held_by(record, message_id, holder) => answer.granted = true,
+            _ => answer.known = known(record, message_id),
+        }
+    });
+    Some(answer)
+}
+
+fn is_held_by(record: &Record, message_id: u16, holder: id::Vm) -> bool {
+    let exchanges = record.soft.iter().flat_map(|soft| &soft.exchanges);
+    exchanges
+        .filter(|exchange| exchange.message_id == message_id)
+        .any(|exchange| matches!(exchange.progress, Progress::Held(vm) if vm == holder))
+}
+
+fn known(record: &Record, message_id: u16) -> Option<ExchangeRecord> {
+    let message = record.to_message();
+    let mut exchanges = message.exchanges.into_iter();
+    exchanges.find(|exchange| exchange.message_id == u32::from(message_id))
+}
+
+/// Calls `action` with the flow's record, or with a new copy; returns whether it could.
+fn open_copy(node: &Arc<Node>, key: Key, action: impl FnOnce(&mut Record)) -> bool {
+    let is_new = node.flows.with(key, |_| ()).is_none();
+    node.flows
+        .with_or_open(key, |record| {
+            if is_new {
+                record.is_owned = false;
+            }
+            action(record);
+        })
+        .is_ok()
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/flow/route.rs
@@ -0,0 +1,69 @@
+//! Takes packets to the VM that serves their flow.
+
+use crate::dispatch;
+use crate::flow::Key;
+use crate::id;
+use crate::message::Forward;
+use crate::message::frame::Body;
+use crate::prelude::*;
+use crate::refusal::Reason;
+use crate::release::Kind;
+use crate::wire::address;
+
+/// VMs that may pass a packet on after the one that received it.
+///
+/// Two are enough for one VM with an outdated view between entry and owner.
+pub const MAX_HOPS: u32 = 2;
+
+/// Routes a packet that the fabric handed to this VM.
+pub fn from_caller(node: &Arc<Node>, key: Key, datagram: &[u8]) {
+    node.note_packet();
+    route(node, key, 0, datagram);
+}
+
+/// Routes a packet that another VM passed on.
+pub fn from_peer(node: &Arc<Node>, forward: Forward) {
+    node.note_packet();
+    let Some(caller) = address::decode(&forward.caller) else {
+        node.refusals.add(Reason::FrameMalformed);
+        return;
+    };
+    let key = Key {
+        service: id::Service(forward.service),
+        caller,
+    };
+    route(node, key, forward.hops, &forward.payload);
+}
+
+/// Serves the packet here when this VM holds or owns the flow, and passes it on
+/// otherwise.
+fn route(node: &Arc<Node>, key: Key, hops: u32, datagram: &[u8]) {
+    let is_held = node.flows.with(key, |record| record.is_owned) == Some(true);
+    let view = node.members.view();
+    let owner = view.owner(key.hash());
+    if is_held || owner == view.me {
+        serve(node, key, datagram);
+    } else if hops < MAX_HOPS {
+        let forward = Forward {
+            hops: hops + 1,
+            caller: address::encode(key.caller),
+            service: key.service.0,
+            payload: datagram.to_vec(),
+        };
+        node.peers.send(owner, Body::Forward(forward));
+    } else {
+        node.refusals.add(Reason::HopLimit);
+    }
+}
+
+fn serve(node: &Arc<Node>, key: Key, datagram: &[u8]) {
+    let state = node.releases.state();
+    let Some(service) = state.service(key.service) else {
+        node.refusals.add(Reason::ServiceUnknown);
+        return;
+    };
+    match service.kind {
+        Kind::Requests => dispatch::requests::receive(node, service, key, datagram),
+        Kind::Datagrams => dispatch::datagrams::receive(node, service, key, datagram),
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/flow/table.rs
@@ -0,0 +1,138 @@
+//! All flow records of a VM.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::{Key, Record};
+use crate::clock;
+use crate::refusal::Reason;
+
+new_key_type! {
+    /// Names a record in the arena.
+    pub struct Handle;
+}
+
+/// Flow records in an arena, found by flow.
+///
+/// Every method holds the lock for a few steps only and never across an await.
+#[derive(Debug)]
+pub struct Table {
+    inner: Mutex<Inner>,
+    max_records: usize,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    records: SlotMap<Handle, Record>,
+    /// Has exactly one entry for each record.
+    by_key: HashMap<Key, Handle>,
+}
+
+/// Numbers of records for the status page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub struct Totals {
+    /// Records served here.
+    pub owned: usize,
+    /// Copies held for other VMs.
+    pub replicas: usize,
+    /// Feeds of owned records.
+    pub feeds: usize,
+}
+
+impl Table {
+    /// Returns an empty table for at most `max_records` records.
+    pub fn new(max_records: usize) -> Self {
+        Self {
+            inner: Mutex::default(),
+            max_records,
+        }
+    }
+
+    /// Calls `action` with the flow's record, if there is one.
+    pub fn with<R>(&self, key: Key, action: impl FnOnce(&mut Record) -> R) -> Option<R> {
+        let mut inner = self.inner.lock().unwrap();
+        let handle = *inner.by_key.get(&key)?;
+        inner.records.get_mut(handle).map(action)
+    }
+
+    /// Calls `action` with the flow's record, creating an owned one where there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::FlowsFull`] when a new record would exceed the limit.
+    pub fn with_or_open<R>(
+        &self,
+        key: Key,
+        action: impl FnOnce(&mut Record) -> R,
+    ) -> Result<R, Reason> {
+        let mut inner = self.inner.lock().unwrap();
+        let known = inner.by_key.get(&key).copied();
+        let handle = match known {
+            Some(handle) => handle,
+            None if inner.records.len() >= self.max_records => return Err(Reason::FlowsFull),
+            None => inner.open(key),
+        };
+        let record = &mut inner.records[handle];
+        record.used_at_ms = clock::monotonic_ms();
+        Ok(action(record))
+    }
+
+    /// Removes a record.
+    pub fn remove(&self, key: Key) -> Option<Record> {
+        let mut inner = self.inner.lock().unwrap();
+        let handle = inner.by_key.remove(&key)?;
+        inner.records.remove(handle)
+    }
+
+    /// Returns the keys of the records that `select` picks.
+    pub fn keys(&self, mut select: impl FnMut(&Record) -> bool) -> Vec<Key> {
+        let inner = self.inner.lock().unwrap();
+        let selected = inner.records.values().filter(|record| select(record));
+        selected.map(|record| record.key).collect()
+    }
+
+    /// Drops records without feeds that were idle for `idle_ms`.
+    ///
+    /// Exchanges keep a record for no longer than their lifetime, which is checked when
+    /// they are looked at, so `idle_ms` counts from the last packet.
+    pub fn drop_idle(&self, idle_ms: u64) -> usize {
+        let now_ms = clock::monotonic_ms();
+        let mut inner = self.inner.lock().unwrap();
+        let before = inner.records.len();
+        inner.records.retain(|_, record| {
+            let has_feeds = record
+                .soft
+                .as_ref()
+                .is_some_and(|soft| !soft.feeds.is_empty());
+            has_feeds || now_ms.saturating_sub(record.used_at_ms) < idle_ms
+        });
+        let Inner { records, by_key } = &mut *inner;
+        by_key.retain(|_, handle| records.contains_key(*handle));
+        before - inner.records.len()
+    }
+
+    /// Counts the records.
+    pub fn totals(&self) -> Totals {
+        let inner = self.inner.lock().unwrap();
+        let mut totals = Totals::default();
+        for record in inner.records.values() {
+            if record.is_owned {
+                totals.owned += 1;
+                totals.feeds += record.soft.as_ref().map_or(0, |soft| soft.feeds.len());
+            } else {
+                totals.replicas += 1;
+            }
+        }
+        totals
+    }
+}
+
+impl Inner {
+    fn open(&mut self, key: Key) -> Handle {
+        let handle = self.records.insert(Record::new(key));
+        self.by_key.insert(key, handle);
+        handle
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/membership/table.rs
@@ -0,0 +1,333 @@
+//! The members known to this VM and the news about them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use metrics::counter;
+use spdlog::{info, warn};
+use tokio::sync::watch;
+
+use super::rumours::Rumours;
+use super::view::{Member, View};
+use crate::document;
+use crate::id;
+use crate::message::{Health, Rumour};
+
+/// Time for a suspect to refute before it counts as dead, milliseconds.
+pub const SUSPECT_TIMEOUT_MS: u64 = 1200;
+
+/// Members, joined from the platform's list and from rumours.
+#[derive(Debug)]
+pub struct Table {
+    me: id::Vm,
+    data_centre: String,
+    incarnation: u64,
+    inner: Mutex<Inner>,
+    view: watch::Sender<Arc<View>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    list_version: u64,
+    list: document::VmList,
+    members: HashMap<id::Vm, Member>,
+    /// When each suspect became one, monotonic milliseconds.
+    suspected_at: HashMap<id::Vm, u64>,
+    rumours: Rumours,
+    my_revision: u32,
+    /// True once this VM stops.
+    stopping: bool,
+    /// True while the platform lists this VM as leaving.
+    listed_leaving: bool,
+}
+
+impl Table {
+    /// Returns a table that knows only this VM.
+    pub fn new(vm: &str, data_centre: &str, incarnation: u64) -> Self {
+        let me = id::Vm::of(vm);
+        let view = View::new(me, data_centre, HashMap::new(), true);
+        Self {
+            me,
+            data_centre: data_centre.to_owned(),
+            incarnation,
+            inner: Mutex::default(),
+            view: watch::Sender::new(Arc::new(view)),
+        }
+    }
+
+    /// Returns the current view.
+    pub fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Returns a receiver that sees every change of the view.
+    pub fn watch(&self) -> watch::Receiver<Arc<View>> {
+        self.view.subscribe()
+    }
+
+    /// Returns this process's incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the version of the VM list held.
+    pub fn list_version(&self) -> u64 {
+        self.inner.lock().unwrap().list_version
+    }
+
+    /// Returns the VM list when it is newer than `version`.
+    pub fn list_since(&self, version: u64) -> Option<document::VmList> {
+        let inner = self.inner.lock().unwrap();
+        (inner.list_version > version).then(|| inner.list.clone())
+    }
+
+    /// Takes a list that is newer than the one held.
+    ///
+    /// An entry that does not parse is left out. What is known directly of a VM that
+    /// stays listed under the same address is kept.
+    pub fn take_list(&self, list: &document::VmList) {
+        let mut inner = self.inner.lock().unwrap();
+        if list.version <= inner.list_version {
+            return;
+        }
+        inner.list_version = list.version;
+        inner.list = list.clone();
+        let mut members = HashMap::with_capacity(list.vms.len());
+        for entry in &list.vms {
+            let vm = id::Vm::of(&entry.name);
+            if vm == self.me {
+                inner.listed_leaving = entry.state == "leaving";
+                continue;
+            }
+            let Ok(address) = entry.peer_address.parse::<SocketAddr>() else {
+                warn!("event=vm_entry_malformed vm={}", entry.name);
+                continue;
+            };
+            let known = inner.members.remove(&vm);
+            members.insert(vm, listed_member(entry, address, known));
+        }
+        let gone: Vec<id::Vm> = inner.members.keys().copied().collect();
+        for vm in gone {
+            inner.rumours.forget(vm);
+            inner.suspected_at.remove(&vm);
+        }
+        inner.members = members;
+        self.publish(&inner);
+    }
+
+    /// Notes a frame that a VM sent itself, which proves that this incarnation lives.
+    pub fn hear_from(&self, vm: id::Vm, incarnation: u64) {
+        let mut inner = self.inner.lock().unwrap();
+        let Some(member) = inner.members.get_mut(&vm) else {
+            return;
+        };
+        if incarnation <= member.incarnation {
+            return;
+        }
+        member.incarnation = incarnation;
+        member.revision = 0;
+        member.health = Health::Alive;
+        let rumour = rumour_of(vm, member);
+        info!(
+            "event=vm_joined vm={} incarnation={incarnation}",
+            member.name
+        );
+        inner.suspected_at.remove(&vm);
+        inner.rumours.push(rumour);
+        self.publish(&inner);
+    }
+
+    /// Takes rumours from another VM.
+    pub fn hear(&self, rumours: &[Rumour], now_ms: u64) {
+        for rumour in rumours {
+            if rumour.vm == self.me.0 {
+                self.refute(rumour);
+            } else {
+                self.believe(rumour, now_ms);
+            }
+        }
+    }
+
+    /// Suspects a VM that did not answer a probe.
+    pub fn suspect(&self, vm: id::Vm, now_ms: u64) {
+        let rumour = {
+            let inner = self.inner.lock().unwrap();
+            match inner.members.get(&vm) {
+                Some(member) if member.health == Health::Alive => Rumour {
+                    health: Health::Suspect.into(),
+                    ..rumour_of(vm, member)
+                },
+                Some(member) if member.health == Health::Leaving => Rumour {
+                    health: Health::Dead.into(),
+                    ..rumour_of(vm, member)
+                },
+                _ => return,
+            }
+        };
+        counter!("ragwortbeam_suspicions_total").increment(1);
+        self.believe(&rumour, now_ms);
+    }
+
+    /// Declares suspects dead whose time to refute is over.
+    pub fn expire_suspects(&self, now_ms: u64) {
+        let expired: Vec<Rumour> = {
+            let inner = self.inner.lock().unwrap();
+            let overdue = inner
+                .suspected_at
+                .iter()
+                .filter(|(_, since)| now_ms.saturating_sub(**since) >= SUSPECT_TIMEOUT_MS);
+            overdue
+                .filter_map(|(vm, _)| inner.members.get(vm).map(|member| rumour_of(*vm, member)))
+                .collect()
+        };
+        for rumour in expired {
+            let dead = Rumour {
+                health: Health::Dead.into(),
+                ..rumour
+            };
+            self.believe(&dead, now_ms);
+        }
+    }
+
+    /// Restarts the time to refute of all suspects, after this process was paused.
+    pub fn restart_suspicions(&self, now_ms: u64) {
+        let mut inner = self.inner.lock().unwrap();
+        for since in inner.suspected_at.values_mut() {
+            *since = now_ms;
+        }
+    }
+
+    /// Takes this VM out of ownership and tells the others.
+    pub fn stop(&self) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.stopping = true;
+        inner.my_revision += 1;
+        let rumour = self.my_rumour(&inner);
+        inner.rumours.push(rumour);
+        self.publish(&inner);
+    }
+
+    /// Returns whether this VM stops.
+    pub fn is_stopping(&self) -> bool {
+        self.inner.lock().unwrap().stopping
+    }
+
+    /// Takes rumours for one frame: about the receiver first, so that it can refute,
+    /// about this VM, and then the least sent ones.
+    pub fn rumours_for(&self, receiver: id::Vm) -> Vec<Rumour> {
+        let mut inner = self.inner.lock().unwrap();
+        let members = inner.members.len();
+        let mut rumours = inner.rumours.take(members);
+        if let Some(member) = inner.members.get(&receiver)
+            && member.health != Health::Alive
+        {
+            rumours.insert(0, rumour_of(receiver, member));
+        }
+        if inner.stopping {
+            rumours.push(self.my_rumour(&inner));
+        }
+        rumours
+    }
+
+    fn believe(&self, rumour: &Rumour, now_ms: u64) {
+        let mut inner = self.inner.lock().unwrap();
+        let vm = id::Vm(rumour.vm);
+        let Some(member) = inner.members.get_mut(&vm) else {
+            return;
+        };
+        let news = (rumour.incarnation, rumour.revision, rumour.health());
+        if news <= (member.incarnation, member.revision, member.health) {
+            return;
+        }
+        let before = member.health;
+        member.incarnation = rumour.incarnation;
+        member.revision = rumour.revision;
+        member.health = rumour.health();
+        let name = member.name.clone();
+        info!(
+            "event=vm_health vm={name} before={} after={} incarnation={} revision={}",
+            before.as_str_name(),
+            rumour.health().as_str_name(),
+            rumour.incarnation,
+            rumour.revision
+        );
+        if rumour.health() == Health::Suspect {
+            inner.suspected_at.entry(vm).or_insert(now_ms);
+        } else {
+            inner.suspected_at.remove(&vm);
+        }
+        if rumour.health() == Health::Dead {
+            counter!("ragwortbeam_vms_declared_dead_total").increment(1);
+        }
+        inner.rumours.push(*rumour);
+        self.publish(&inner);
+    }
+
+    /// Answers a rumour about this VM that is not true.
+    fn refute(&self, rumour: &Rumour) {
+        let mut inner = self.inner.lock().unwrap();
+        let mine = self.my_rumour(&inner);
+        let is_news = (rumour.incarnation, rumour.revision, rumour.health())
+            > (mine.incarnation, mine.revision, mine.health());
+        if !is_news || rumour.incarnation > self.incarnation {
+            return;
+        }
+        inner.my_revision = rumour.revision + 1;
+        let rumour = self.my_rumour(&inner);
+        info!("event=suspicion_refuted revision={}", rumour.revision);
+        counter!("ragwortbeam_suspicions_refuted_total").increment(1);
+        inner.rumours.push(rumour);
+    }
+
+    fn my_rumour(&self, inner: &Inner) -> Rumour {
+        let health = if inner.stopping {
+            Health::Leaving
+        } else {
+            Health::Alive
+        };
+        Rumour {
+            vm: self.me.0,
+            incarnation: self.incarnation,
+            revision: inner.my_revision,
+            health: health.into(),
+        }
+    }
+
+    fn publish(&self, inner: &Inner) {
+        let may_own = !inner.stopping && !inner.listed_leaving;
+        let members = inner.members.clone();
+        let view = View::new(self.me, &self.data_centre, members, may_own);
+        self.view.send_replace(Arc::new(view));
+    }
+}
+
+fn listed_member(entry: &document::VmEntry, address: SocketAddr, known: Option<Member>) -> Member {
+    let fresh = Member {
+        name: entry.name.clone(),
+        address,
+        data_centre: entry.data_centre.clone(),
+        listed_leaving: entry.state == "leaving",
+        incarnation: 0,
+        revision: 0,
+        health: Health::Alive,
+    };
+    match known {
+        Some(known) if known.address == address => Member {
+            incarnation: known.incarnation,
+            revision: known.revision,
+            health: known.health,
+            ..fresh
+        },
+        _ => fresh,
+    }
+}
+
+fn rumour_of(vm: id::Vm, member: &Member) -> Rumour {
+    Rumour {
+        vm: vm.0,
+        incarnation: member.incarnation,
+        revision: member.revision,
+        health: member.health.into(),
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/node.rs
@@ -0,0 +1,229 @@
+//! One VM's process: its parts, its start and its graceful stop.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Instant;
+
+use coap_lite::Packet;
+use spdlog::{info, warn};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::sleep;
+
+use crate::admin;
+use crate::backend;
+use crate::clock;
+use crate::dispatch;
+use crate::entry;
+use crate::flow::{self, Key};
+use crate::membership;
+use crate::peer;
+use crate::platform::{self, Platform};
+use crate::prelude::*;
+use crate::release;
+use crate::settings::Settings;
+use crate::wire;
+
+/// Shortest key file, bytes.
+const MIN_KEY_LEN: usize = 32;
+
+/// Pause between two attempts to read the first configuration.
+const FIRST_READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time without a packet after which a stopping VM has no late ones to forward.
+const QUIET: Duration = Duration::from_millis(1000);
+
+/// How often a stopping VM looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Parts of one VM's process, shared by its tasks.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Members of the fleet.
+    pub members: Arc<membership::Table>,
+    /// Release in force.
+    pub releases: release::Book,
+    /// Platform.
+    pub platform: Box<dyn Platform>,
+    /// Links to other VMs.
+    pub peers: peer::Peers,
+    /// Flow records.
+    pub flows: flow::Table,
+    /// Changed flows on their way to replicas.
+    pub replicas: flow::replication::Queue,
+    /// Listeners towards callers.
+    pub entry: entry::Listeners,
+    /// Links to endpoints of `requests` services.
+    pub links: backend::Links,
+    /// Sockets towards endpoints of `datagrams` services.
+    pub legs: dispatch::datagrams::Legs,
+    /// Slots and queues.
+    pub pools: dispatch::Pools,
+    /// Refusals by reason.
+    pub refusals: refusal::Counts,
+    /// True while one pull of releases is in progress.
+    pub is_pulling: AtomicBool,
+    is_ready: AtomicBool,
+    in_flight: Arc<AtomicUsize>,
+    last_packet_ms: AtomicU64,
+}
+
+/// Counts one request as in progress until dropped.
+pub struct Work {
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Node {
+    /// Starts a node; it serves when this returns.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Io`] when the key file cannot be read or an address cannot be bound.
+    pub async fn start(settings: Settings) -> Result<Arc<Self>> {
+        let key = read_key(&settings)?;
+        let udp = entry::bind_udp(settings.peer_address)
+            .and_then(UdpSocket::from_std)
+            .map_err(|error| Error::io(settings.peer_address.to_string(), error))?;
+        let tcp = bind_tcp(settings.peer_address).await?;
+        let admin = bind_tcp(settings.admin_address).await?;
+        let incarnation = clock::wall_ms();
+        let table = membership::Table::new(&settings.vm, &settings.data_centre, incarnation);
+        let members = Arc::new(table);
+        let (replicas, changed) = flow::replication::Queue::new();
+        let node = Arc::new(Self {
+            platform: Box::new(platform::Http::new(&settings.platform_url)),
+            peers: peer::Peers::new(members.clone(), udp, &key),
+            flows: flow::Table::new(settings.limits.max_flows),
+            members,
+            replicas,
+            settings,
+            releases: release::Book::default(),
+            entry: entry::Listeners::default(),
+            links: backend::Links::default(),
+            legs: dispatch::datagrams::Legs::default(),
+            pools: dispatch::Pools::default(),
+            refusals: refusal::Counts::default(),
+            is_pulling: AtomicBool::new(false),
+            is_ready: AtomicBool::new(false),
+            in_flight: Arc::default(),
+            last_packet_ms: AtomicU64::new(0),
+        });
+        tokio::spawn(admin::serve(node.clone(), admin));
+        tokio::spawn(peer::serve(node.clone(), tcp, key));
+        tokio::spawn(peer::receive::run(node.clone()));
+        node.read_first_configuration().await;
+        membership::greet(&node).await;
+        tokio::spawn(membership::run(node.clone()));
+        tokio::spawn(platform::run(node.clone()));
+        tokio::spawn(flow::replication::run(node.clone(), changed));
+        tokio::spawn(flow::handover::run(node.clone()));
+        tokio::spawn(backend::leaving::run(node.clone()));
+        tokio::spawn(entry::run(node.clone()));
+        node.is_ready.store(true, Ordering::Release);
+        info!(
+            "event=ready vm={} incarnation={incarnation}",
+            node.settings.vm
+        );
+        Ok(node)
+    }
+
+    /// Stops gracefully: takes no new flows, hands records over, finishes requests in
+    /// progress and forwards late packets, for at most the settings' stop timeout.
+    ///
+    /// Returns whether everything was handed over and finished.
+    pub async fn stop(self: &Arc<Self>) -> bool {
+        info!("event=stopping in_flight={}", self.in_flight());
+        let deadline = Instant::now() + self.settings.limits.stop_timeout;
+        self.is_ready.store(false, Ordering::Release);
+        self.members.stop();
+        membership::greet(self).await;
+        let mut left = flow::handover::hand_over_all(self).await;
+        while Instant::now() < deadline {
+            if left == 0 && self.in_flight() == 0 && self.is_quiet() {
+                info!("event=stopped");
+                return true;
+            }
+            sleep(STOP_POLL).await;
+            left = flow::handover::hand_over_all(self).await;
+        }
+        warn!(
+            "event=stop_timed_out records={left} in_flight={}",
+            self.in_flight()
+        );
+        false
+    }
+
+    /// Returns whether the node takes part in serving.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Acquire)
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Counts one request as in progress until the returned value is dropped.
+    pub fn begin_work(&self) -> Work {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Work {
+            in_flight: self.in_flight.clone(),
+        }
+    }
+
+    /// Notes that a caller's packet arrived.
+    pub fn note_packet(&self) {
+        self.last_packet_ms
+            .store(clock::monotonic_ms(), Ordering::Relaxed);
+    }
+
+    /// Takes a notification from an endpoint; returns whether a feed wants it.
+    pub fn notified(self: &Arc<Self>, key: Key, leg: u64, packet: Packet) -> bool {
+        dispatch::notified(self, key, leg, packet)
+    }
+
+    fn is_quiet(&self) -> bool {
+        let last_ms = self.last_packet_ms.load(Ordering::Relaxed);
+        let quiet_ms = clock::monotonic_ms().saturating_sub(last_ms);
+        quiet_ms >= QUIET.as_millis() as u64
+    }
+
+    /// Reads the first configuration from the platform, or waits for other VMs to call.
+    async fn read_first_configuration(self: &Arc<Self>) {
+        loop {
+            match platform::read_all(self).await {
+                Ok(()) => return,
+                Err(error) => warn!("event=first_read_failed error=\"{error}\""),
+            }
+            if self.releases.number() > 0 {
+                return;
+            }
+            sleep(FIRST_READ_PAUSE).await;
+        }
+    }
+}
+
+fn read_key(settings: &Settings) -> Result<wire::frame::Key> {
+    let path = settings.key_file.display().to_string();
+    let secret = std::fs::read(&settings.key_file).map_err(|source| Error::io(&path, source))?;
+    if secret.len() < MIN_KEY_LEN {
+        return Err(Error::Settings(crate::settings::Fault {
+            file: path,
+            field: "contents".to_owned(),
+            expected: format!("at least {MIN_KEY_LEN} bytes"),
+            found: format!("{} bytes", secret.len()),
+        }));
+    }
+    Ok(wire::frame::Key::derive(&secret))
+}
+
+async fn bind_tcp(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::io(address.to_string(), source))
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/peer/calls.rs
@@ -0,0 +1,76 @@
+//! Serves the calls of other VMs.
+
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+use super::{proof, releases};
+use crate::flow;
+use crate::message::peer_server::{Peer, PeerServer};
+use crate::message::{
+    Records, RecordsAnswer, ReleaseAnswer, ReleaseOfferAnswer, ReleaseQuery, Reservation,
+    ReservationAnswer,
+};
+use crate::prelude::*;
+use crate::wire::frame::Key;
+
+/// Serves calls on a bound listener for the life of the node.
+///
+/// # Errors
+///
+/// [`Error::Peer`] when the server ends.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, key: Key) -> Result<()> {
+    let refusals = node.clone();
+    let check = move |request: Request<()>| match proof::check(&key, request.metadata()) {
+        Ok(()) => Ok(request),
+        Err(reason) => {
+            refusals.refusals.add(reason);
+            Err(proof::refused())
+        }
+    };
+    Server::builder()
+        .add_service(PeerServer::with_interceptor(Calls { node }, check))
+        .serve_with_incoming(TcpIncoming::from(listener))
+        .await
+        .map_err(Error::peer)
+}
+
+struct Calls {
+    node: Arc<Node>,
+}
+
+type Answer<T> = std::result::Result<Response<T>, Status>;
+
+#[tonic::async_trait]
+impl Peer for Calls {
+    async fn reserve(&self, request: Request<Reservation>) -> Answer<ReservationAnswer> {
+        let reservation = request.into_inner();
+        flow::replication::record(&self.node, &reservation)
+            .map(Response::new)
+            .ok_or_else(|| Status::invalid_argument("the reservation lacks a flow key"))
+    }
+
+    async fn replicate(&self, request: Request<Records>) -> Answer<RecordsAnswer> {
+        let taken = flow::replication::store(&self.node, request.into_inner());
+        Ok(Response::new(RecordsAnswer { taken }))
+    }
+
+    async fn handover(&self, request: Request<Records>) -> Answer<RecordsAnswer> {
+        let taken = flow::handover::adopt_all(&self.node, request.into_inner()).await;
+        Ok(Response::new(RecordsAnswer { taken }))
+    }
+
+    async fn releases(&self, request: Request<ReleaseQuery>) -> Answer<ReleaseAnswer> {
+        let query = request.into_inner();
+        let mut answer = self.node.releases.since(query.after).unwrap_or_default();
+        answer.vms = self.node.members.list_since(query.vm_list);
+        Ok(Response::new(answer))
+    }
+
+    async fn offer(&self, request: Request<ReleaseAnswer>) -> Answer<ReleaseOfferAnswer> {
+        releases::take(&self.node, request.into_inner()).await;
+        let number = self.node.releases.number();
+        Ok(Response::new(ReleaseOfferAnswer { number }))
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/peer/links.rs
@@ -0,0 +1,128 @@
+//! Calls to other VMs over tonic, one channel for each VM, opened on first use.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Response, Status};
+
+use super::proof;
+use crate::membership;
+use crate::message::peer_client::PeerClient;
+use crate::message::{
+    Records, RecordsAnswer, ReleaseAnswer, ReleaseOfferAnswer, ReleaseQuery, Reservation,
+    ReservationAnswer,
+};
+use crate::prelude::*;
+use crate::wire::frame::Key;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time allowed for a reservation; a request waits for it.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time allowed for other calls.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Channels to other VMs.
+#[derive(Debug)]
+pub struct Links {
+    members: Arc<membership::Table>,
+    key: Key,
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl Links {
+    /// Returns links with no channel open yet.
+    pub fn new(members: Arc<membership::Table>, key: Key) -> Self {
+        Self {
+            members,
+            key,
+            channels: Mutex::default(),
+        }
+    }
+
+    /// Records a non-idempotent exchange at a replica.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Peer`]; the replica may have recorded it.
+    pub async fn reserve(&self, vm: id::Vm, reservation: Reservation) -> Result<ReservationAnswer> {
+        let mut client = self.client(vm)?;
+        finish(
+            client
+                .reserve(self.request(reservation, RESERVE_TIMEOUT))
+                .await,
+        )
+    }
+
+    /// Stores soft copies at a replica.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Peer`]; sending again is idempotent.
+    pub async fn replicate(&self, vm: id::Vm, records: Records) -> Result<RecordsAnswer> {
+        let mut client = self.client(vm)?;
+        finish(client.replicate(self.request(records, CALL_TIMEOUT)).await)
+    }
+
+    /// Moves records to their new owner.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Peer`]; the new owner may serve them already.
+    pub async fn hand_over(&self, vm: id::Vm, records: Records) -> Result<RecordsAnswer> {
+        let mut client = self.client(vm)?;
+        finish(client.handover(self.request(records, CALL_TIMEOUT)).await)
+    }
+
+    /// Asks for releases.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Peer`]; ask another VM.
+    pub async fn releases(&self, vm: id::Vm, query: ReleaseQuery) -> Result<ReleaseAnswer> {
+        let mut client = self.client(vm)?;
+        finish(client.releases(self.request(query, CALL_TIMEOUT)).await)
+    }
+
+    /// Offers releases.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Peer`]; the VM will ask when it sees the newer number in a probe.
+    pub async fn offer(&self, vm: id::Vm, offer: ReleaseAnswer) -> Result<ReleaseOfferAnswer> {
+        let mut client = self.client(vm)?;
+        finish(client.offer(self.request(offer, CALL_TIMEOUT)).await)
+    }
+
+    fn client(&self, vm: id::Vm) -> Result<PeerClient<Channel>> {
+        let view = self.members.view();
+        let member = view.members.get(&vm);
+        let address = member
+            .ok_or_else(|| Error::peer(format!("{vm} is not listed")))?
+            .address;
+        let mut channels = self.channels.lock().unwrap();
+        if let Some(channel) = channels.get(&address) {
+            return Ok(PeerClient::new(channel.clone()));
+        }
+        let channel = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(Error::peer)?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .connect_lazy();
+        channels.insert(address, channel.clone());
+        Ok(PeerClient::new(channel))
+    }
+
+    fn request<T>(&self, message: T, allowed: Duration) -> Request<T> {
+        let mut request = Request::new(message);
+        request.set_timeout(allowed);
+        proof::attach(&self.key, self.members.view().me, &mut request);
+        request
+    }
+}
+
+fn finish<T>(result: std::result::Result<Response<T>, Status>) -> Result<T> {
+    result.map(Response::into_inner).map_err(Error::peer)
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/peer/mod.rs
@@ -0,0 +1,12 @@
+//! Links between VMs: frames over UDP and calls over tonic.
+
+mod calls;
+mod links;
+mod proof;
+pub mod receive;
+pub mod releases;
+mod socket;
+
+pub use calls::serve;
+pub use links::Links;
+pub use socket::Peers;
--- /dev/null
+++ b/crates/ragwortbeam/src/peer/receive.rs
@@ -0,0 +1,90 @@
+//! Receives frames from other VMs.
+
+use std::net::SocketAddr;
+
+use spdlog::debug;
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::flow;
+use crate::membership::ping;
+use crate::message::frame::Body;
+use crate::message::{Frame, PingRequest, Pong};
+use crate::peer::releases;
+use crate::prelude::*;
+use crate::refusal::Reason;
+use crate::wire::frame::MAX_FRAME_LEN;
+
+/// Time a VM waits for the target of an indirect probe.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Receives for the life of the node.
+pub async fn run(node: Arc<Node>) {
+    // One byte more than allowed shows that a frame was longer.
+    let mut buffer = vec![0; MAX_FRAME_LEN + 1];
+    loop {
+        let Ok((len, source)) = node.peers.socket().recv_from(&mut buffer).await else {
+            continue;
+        };
+        if let Err(reason) = take(&node, &buffer[..len], source) {
+            node.refusals.add(reason);
+            debug!("event=frame_refused source={source} reason={reason}");
+        }
+    }
+}
+
+fn take(node: &Arc<Node>, datagram: &[u8], source: SocketAddr) -> Result<(), Reason> {
+    let frame = node.peers.opener().open(datagram, clock::wall_ms())?;
+    let sender = id::Vm(frame.sender);
+    let view = node.members.view();
+    let is_member = view
+        .members
+        .get(&sender)
+        .is_some_and(|member| member.address == source);
+    if !is_member {
+        return Err(Reason::FrameStranger);
+    }
+    node.members.hear_from(sender, frame.incarnation);
+    handle(node, sender, frame);
+    Ok(())
+}
+
+fn handle(node: &Arc<Node>, sender: id::Vm, frame: Frame) {
+    match frame.body {
+        Some(Body::Forward(forward)) => flow::route::from_peer(node, forward),
+        Some(Body::Ping(ping)) => {
+            node.members.hear(&ping.rumours, clock::monotonic_ms());
+            releases::compare(node, sender, ping.release, ping.vm_list);
+            answer(node, sender, ping.nonce);
+        }
+        Some(Body::PingRequest(request)) => {
+            tokio::spawn(relay(node.clone(), sender, request));
+        }
+        Some(Body::Pong(pong)) => {
+            node.members.hear(&pong.rumours, clock::monotonic_ms());
+            releases::compare(node, sender, pong.release, pong.vm_list);
+            node.peers.complete_pong(pong.nonce);
+        }
+        None => {}
+    }
+}
+
+fn answer(node: &Node, sender: id::Vm, nonce: u64) {
+    let pong = Pong {
+        nonce,
+        release: node.releases.number(),
+        vm_list: node.members.list_version(),
+        rumours: node.members.rumours_for(sender),
+    };
+    node.peers.send(sender, Body::Pong(pong));
+}
+
+async fn relay(node: Arc<Node>, sender: id::Vm, request: PingRequest) {
+    let (nonce, pong) = node.peers.expect_pong();
+    ping(&node, id::Vm(request.target), nonce);
+    if timeout(RELAY_TIMEOUT, pong).await.is_ok() {
+        answer(&node, sender, request.nonce);
+    } else {
+        node.peers.forget_pong(nonce);
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/peer/socket.rs
@@ -0,0 +1,99 @@
+//! The UDP socket between VMs and the probes waiting for an answer on it.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use metrics::counter;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use super::Links;
+use crate::membership;
+use crate::message::frame::Body;
+use crate::prelude::*;
+use crate::wire::frame::{Key, Opener, Sealer};
+
+/// Everything this VM uses to reach the others.
+#[derive(Debug)]
+pub struct Peers {
+    members: Arc<membership::Table>,
+    socket: UdpSocket,
+    sealer: Sealer,
+    opener: Opener,
+    /// Calls over tonic.
+    pub links: Links,
+    /// Probes in progress by nonce.
+    pongs: Mutex<HashMap<u64, oneshot::Sender<()>>>,
+    next_nonce: AtomicU64,
+}
+
+impl Peers {
+    /// Returns links that use `socket`, bound to the peer address.
+    pub fn new(members: Arc<membership::Table>, socket: UdpSocket, key: &Key) -> Self {
+        let me = members.view().me;
+        let incarnation = members.incarnation();
+        Self {
+            links: Links::new(members.clone(), key.clone()),
+            members,
+            socket,
+            sealer: Sealer::new(key.clone(), me, incarnation),
+            opener: Opener::new(key.clone()),
+            pongs: Mutex::default(),
+            next_nonce: AtomicU64::new(1),
+        }
+    }
+
+    /// Sends a frame to a VM; a frame that the system does not take is lost.
+    pub fn send(&self, vm: id::Vm, body: Body) {
+        let view = self.members.view();
+        let Some(member) = view.members.get(&vm) else {
+            return;
+        };
+        let kind = kind(&body);
+        let datagram = self.sealer.seal(body);
+        counter!("ragwortbeam_peer_bytes_sent_total", "kind" => kind)
+            .increment(datagram.len() as u64);
+        if self.socket.try_send_to(&datagram, member.address).is_err() {
+            counter!("ragwortbeam_peer_send_failures_total").increment(1);
+        }
+    }
+
+    /// Returns a fresh nonce and what completes when its Pong arrives.
+    pub fn expect_pong(&self) -> (u64, oneshot::Receiver<()>) {
+        let nonce = self.next_nonce.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.pongs.lock().unwrap().insert(nonce, sender);
+        (nonce, receiver)
+    }
+
+    /// Stops waiting for a Pong.
+    pub fn forget_pong(&self, nonce: u64) {
+        self.pongs.lock().unwrap().remove(&nonce);
+    }
+
+    pub(super) fn complete_pong(&self, nonce: u64) {
+        let waiting = self.pongs.lock().unwrap().remove(&nonce);
+        if let Some(sender) = waiting {
+            // The probe may have given up in the meantime.
+            let _ = sender.send(());
+        }
+    }
+
+    pub(super) fn socket(&self) -> &UdpSocket {
+        &self.socket
+    }
+
+    pub(super) fn opener(&self) -> &Opener {
+        &self.opener
+    }
+}
+
+fn kind(body: &Body) -> &'static str {
+    match body {
+        Body::Forward(_) => "forward",
+        Body::Ping(_) => "ping",
+        Body::PingRequest(_) => "ping_request",
+        Body::Pong(_) => "pong",
+    }
+}
--- /dev/null
+++ b/crates/ragwortbeam/src/settings/check.rs
@@ -0,0 +1,191 @@
+//! Checks of a settings document, field by field.
+
+use std::fmt::Display;
+use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+
+use crate::dispatch::choice;
+
+use super::{Fault, Limits, Settings, document};
+
+const MAX_REQUEST_DEADLINE_MS: u32 = 40_000;
+const MAX_STOP_TIMEOUT_MS: u32 = 600_000;
+const MAX_FLOW_IDLE_MS: u32 = 86_400_000;
+
+/// Decodes JSON; a fault names the field's path.
+pub fn decode<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Fault> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| Fault {
+        file: file.to_owned(),
+        field: error.path().to_string(),
+        expected: "a document as docs/OPERATORS.md describes".to_owned(),
+        found: error.inner().to_string(),
+    })
+}
+
+/// Checks a whole settings document.
+pub fn settings(file: &str, document: document::Settings) -> Result<Settings, Fault> {
+    let check = Check { file };
+    let entry_ip = match &document.entry_ip {
+        None => None,
+        Some(text) => Some(check.ip("entry_ip", text)?),
+    };
+    let peer_address = check.address("peer_address", &document.peer_address)?;
+    let admin_address = check.address("admin_address", &document.admin_address)?;
+    if peer_address == admin_address {
+        let expected = "an address other than peer_address";
+        return Err(check.fault("admin_address", expected, admin_address));
+    }
+    if !document.platform_url.starts_with("http://") {
+        return Err(check.fault("platform_url", "an http:// URL", &document.platform_url));
+    }
+    Ok(Settings {
+        vm: check.name("vm", document.vm)?,
+        data_centre: check.name("data_centre", document.data_centre)?,
+        entry_ip,
+        peer_address,
+        admin_address,
+        key_file: check.name("key_file", document.key_file)?.into(),
+        platform_url: document.platform_url.trim_end_matches('/').to_owned(),
+        limits: limits(&check, &document.limits.unwrap_or_default())?,
+    })
+}
+
+fn limits(check: &Check<'_>, document: &document::Limits) -> Result<Limits, Fault> {
+    let default = Limits::default();
+    let deadline = check.ms(
+        "limits.request_deadline_ms",
+        document.request_deadline_ms,
+        default.request_deadline,
+        100..=MAX_REQUEST_DEADLINE_MS,
+    )?;
+    let stop_timeout = check.ms(
+        "limits.stop_timeout_ms",
+        document.stop_timeout_ms,
+        default.stop_timeout,
+        100..=MAX_STOP_TIMEOUT_MS,
+    )?;
+    if stop_timeout < deadline {
+        let expected = "at least request_deadline_ms, so that a stop cuts off no request";
+        let found = stop_timeout.as_millis();
+        return Err(check.fault("limits.stop_timeout_ms", expected, found));
+    }
+    Ok(Limits {
+        max_flows: check.count(
+            "limits.max_flows",
+            document.max_flows,
+            default.max_flows,
+            1..=10_000_000,
+        )?,
+        queue_per_service: check.count(
+            "limits.queue_per_service",
+            document.queue_per_service,
+            default.queue_per_service,
+            1..=100_000,
+        )?,
+        request_deadline: deadline,
+        stop_timeout,
+        flow_idle: check.ms(
+            "limits.flow_idle_ms",
+            document.flow_idle_ms,
+            default.flow_idle,
+            1000..=MAX_FLOW_IDLE_MS,
+        )?,
+        retry_percent: check.count(
+            "limits.retry_percent",
+            document.retry_percent,
+            default.retry_percent as usize,
+            0..=100,
+        )? as u32,
+        endpoint_choice: endpoint_choice(check, document, default)?,
+    })
+}
+
+fn endpoint_choice(
+    check: &Check<'_>,
+    document: &document::Limits,
+    default: Limits,
+) -> Result<String, Fault> {
+    let Some(name) = &document.endpoint_choice else {
+        return Ok(default.endpoint_choice);
+    };
+    if choice::policy(name).is_none() {
+        let expected = "\"least_of_two\", \"round_robin\" or \"random\"";
+        return Err(check.fault("limits.endpoint_choice", expected, name));
+    }
+    Ok(name.clone())
+}
+
+struct Check<'a> {
+    file: &'a str,
+}
+
+impl Check<'_> {
+    fn fault(&self, field: &str, expected: &str, found: impl Display) -> Fault {
+        let found = found.to_string();
+        Fault {
+            file: self.file.to_owned(),
+            field: field.to_owned(),
+            expected: expected.to_owned(),
+            found: if found.is_empty() {
+                "nothing".to_owned()
+            } else {
+                found
+            },
+        }
+    }
+
+    fn name(&self, field: &str, text: String) -> Result<String, Fault> {
+        if text.trim().is_empty() {
+            return Err(self.fault(field, "a name", text));
+        }
+        Ok(text)
+    }
+
+    fn ip(&self, field: &str, text: &str) -> Result<IpAddr, Fault> {
+        text.parse()
+            .map_err(|_| self.fault(field, "an IP address", text))
+    }
+
+    fn address(&self, field: &str, text: &str) -> Result<SocketAddr, Fault> {
+        let address: SocketAddr = text
+            .parse()
+            .map_err(|_| self.fault(field, "IP:port", text))?;
+        if address.port() == 0 {
+            return Err(self.fault(field, "a port in 1..=65535", 0));
+        }
+        if address.ip().is_unspecified() {
+            return Err(self.fault(field, "the address of one interface", address.ip()));
+        }
+        Ok(address)
+    }
+
+    fn count(
+        &self,
+        field: &str,
+        value: Option<u32>,
+        default: usize,
+        range: RangeInclusive<u32>,
+    ) -> Result<usize, Fault> {
+        match value {
+            None => Ok(default),
+            Some(value) if range.contains(&value) => Ok(value as usize),
+            Some(value) => Err(self.fault(field, &format!("{range:?}"), value)),
+        }
+    }
+
+    fn ms(
+        &self,
+        field: &str,
+        value: Option<u32>,
+        default: Duration,
+        range: RangeInclusive<u32>,
+    ) -> Result<Duration, Fault> {
+        let default_ms = default.as_millis() as usize;
+        let ms = self.count(field, value, default_ms, range)?;
+        Ok(Duration::from_millis(ms as u64))
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/demo.rs
@@ -0,0 +1,145 @@
+//! The demo: a data centre under work while a VM is replaced, another killed and a
+//! backend server drained.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use ragwortbeam::verdict::Verdict;
+
+use crate::checker::{self, Outcomes};
+use crate::history::{self, Entry, Event, Work};
+use crate::load::{self, Load};
+use crate::server::READING_MAX_AGE_S;
+use crate::world::{Shape, World};
+
+/// Longest time for a release to be in force on all VMs.
+const RELEASE_BOUND: Duration = Duration::from_secs(4);
+
+/// Freshness of a feed: the Max-Age that callers are told.
+pub const FRESHNESS: Duration = Duration::from_secs(READING_MAX_AGE_S as u64);
+
+/// Runs the demo; returns whether every promise was kept.
+pub async fn run() -> std::io::Result<bool> {
+    let mut world = World::start(Shape::default()).await?;
+    println!("4 VMs, 8 backend servers, 2 services; callers start");
+    let latencies = load::start(&world, Load::default()).await?;
+    world.run_for(Duration::from_secs(3)).await;
+
+    println!("replacing vm-0: one joins, vm-0 stops gracefully");
+    world.join().await?;
+    let is_graceful = AtomicBool::new(world.stop(0).await);
+    world.run_for(Duration::from_secs(2)).await;
+
+    println!("killing vm-1");
+    world.kill(1).await;
+    world.run_for(Duration::from_secs(5)).await;
+
+    println!("draining a backend server of the ledger");
+    let number = world.drain(0, 0);
+    let spread = world.wait_release(number, RELEASE_BOUND).await;
+    world.run_for(Duration::from_secs(6)).await;
+    world.close();
+
+    let entries = world.history.entries();
+    let outcomes = checker::check(&entries, FRESHNESS);
+    print_flows(&entries);
+    print_requests(&entries);
+    print_latency("records", &latencies.posts.lock().unwrap());
+    print_latency("certificates, 4 blocks", &latencies.fetches.lock().unwrap());
+    println!(
+        "imbalance, ledger servers (max/mean): {:.2}",
+        imbalance(&entries, &world)
+    );
+    match spread {
+        Some(time) => println!("release in force on all VMs after: {time:.0?}"),
+        None => println!("release NOT in force on all VMs after {RELEASE_BOUND:?}"),
+    }
+    println!("reads at the platform: {}", world.platform.reads());
+    println!(
+        "planned stop exited with success: {}",
+        is_graceful.load(Ordering::Relaxed)
+    );
+    print_outcomes(&outcomes);
+    let is_kept = outcomes
+        .values()
+        .all(|outcome| outcome.violations.is_empty());
+    Ok(is_kept && spread.is_some() && is_graceful.load(Ordering::Relaxed))
+}
+
+/// Prints each promise with the cases tried and the violations found.
+pub fn print_outcomes(outcomes: &Outcomes) {
+    println!("{:<24} {:>8} {:>10}", "promise", "tried", "violations");
+    for (promise, outcome) in outcomes {
+        println!(
+            "{promise:<24} {:>8} {:>10}",
+            outcome.tried,
+            outcome.violations.len()
+        );
+        for violation in outcome.violations.iter().take(5) {
+            println!("    {violation}");
+        }
+    }
+}
+
+fn print_flows(entries: &[Entry]) {
+    let feeds = checker::notification_times(entries);
+    let opened = entries
+        .iter()
+        .filter(|entry| {
+            matches!(
+                entry.event,
+                Event::Invoked {
+                    work: Work::Feed,
+                    ..
+                }
+            )
+        })
+        .count();
+    let end = entries.last().map(|entry| entry.at);
+    let gaps = feeds.values().map(|times| checker::longest_gap(times, end));
+    let gaps: Vec<Duration> = gaps.collect();
+    let broken = gaps.iter().filter(|gap| **gap > FRESHNESS).count();
+    let longest = gaps.iter().max().copied().unwrap_or_default();
+    println!("feeds opened: {opened}, broken: {broken}, longest gap: {longest:.0?}");
+}
+
+fn print_requests(entries: &[Entry]) {
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for entry in entries {
+        let verdict = match &entry.event {
+            Event::Answered { verdict, .. } => verdict.to_string(),
+            Event::Unanswered { .. } => "unanswered".to_owned(),
+            _ => continue,
+        };
+        *counts.entry(verdict).or_default() += 1;
+    }
+    counts.entry(Verdict::Ran.to_string()).or_default();
+    println!("requests by verdict: {counts:?}");
+}
+
+fn print_latency(name: &str, histogram: &Histogram<u64>) {
+    println!(
+        "{name}: {} answered, p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+        histogram.len(),
+        ms(histogram.value_at_quantile(0.5)),
+        ms(histogram.value_at_quantile(0.99)),
+        ms(histogram.max())
+    );
+}
+
+fn ms(micros: u64) -> f64 {
+    micros as f64 / 1000.0
+}
+
+/// Returns the most executions of a ledger server over their mean.
+fn imbalance(entries: &[Entry], world: &World) -> f64 {
+    let counts = history::executions_by_endpoint(entries);
+    let servers = &world.servers[0];
+    let of = |index: usize| counts.get(&servers[index].address).copied().unwrap_or(0);
+    // The first one is drained on the way.
+    let counts: Vec<u64> = (1..servers.len()).map(of).collect();
+    let mean = counts.iter().sum::<u64>() as f64 / counts.len().max(1) as f64;
+    counts.iter().max().copied().unwrap_or(0) as f64 / mean.max(1.0)
+}
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins and experiments around ragwortbeam. Never shipped.
+
+#![forbid(unsafe_code)]
+
+pub mod caller;
+pub mod checker;
+pub mod demo;
+pub mod fabric;
+pub mod fleet;
+pub mod history;
+pub mod load;
+pub mod platform;
+pub mod server;
+pub mod world;
--- /dev/null
+++ b/crates/testbed/src/main.rs
@@ -0,0 +1,59 @@
+//! The testbed's command.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use ragwortbeam_testbed::demo;
+
+/// Experiments with ragwortbeam on loopback.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(Demo),
+}
+
+/// Run a small data centre under work and change for about 20 s.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {}
+
+fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some("node") {
+        return run_node();
+    }
+    let arguments: Arguments = argh::from_env();
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let outcome = match arguments.command {
+        Command::Demo(_) => runtime.block_on(demo::run()),
+    };
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the product's `serve` command in a process that the testbed has started.
+fn run_node() -> ExitCode {
+    let mut words: Vec<String> = std::env::args().skip(1).collect();
+    "serve".clone_into(&mut words[0]);
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match ragwortbeam::commands::Arguments::from_args(&["ragwortbeam"], &words) {
+        Ok(arguments) => ragwortbeam::commands::run(arguments),
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/world.rs
@@ -0,0 +1,388 @@
+//! One data centre on loopback: platform, fabric, nodes, backend servers and callers.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use ragwortbeam::document::{EndpointEntry, Note, ServiceChange, ServiceEntry, Snapshot};
+use tempfile::TempDir;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::caller::{Caller, Target};
+use crate::fabric::{Fabric, Faults};
+use crate::fleet::{Plan, Ports, Vm};
+use crate::history::{Event, History};
+use crate::platform::Platform;
+use crate::server::{Server, Times};
+
+const DATA_CENTRE: &str = "nairobi-1";
+
+/// Time that the fabric and the platform's list lag behind reality.
+pub const LIST_LAG: Duration = Duration::from_millis(700);
+
+/// How often the release numbers of all VMs are noted.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Names of the services in a world, in order of their ports.
+pub const SERVICES: [&str; 2] = ["ledger", "certificates"];
+
+/// Sizes and faults of a world.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// VMs at the start.
+    pub vms: usize,
+    /// Backend servers of the ledger.
+    pub ledger_servers: usize,
+    /// Backend servers of the certificates.
+    pub certificate_servers: usize,
+    /// Slots of each backend server.
+    pub slots: u32,
+    /// Service times.
+    pub times: Times,
+    /// Faults of the fabric.
+    pub faults: Faults,
+    /// Seed of the fabric.
+    pub seed: u64,
+    /// Limits in the nodes' settings.
+    pub limits: serde_json::Value,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            vms: 4,
+            ledger_servers: 5,
+            certificate_servers: 3,
+            slots: 3,
+            times: Times::default(),
+            faults: Faults::default(),
+            seed: 1,
+            limits: serde_json::json!({}),
+        }
+    }
+}
+
+/// A running data centre.
+pub struct World {
+    /// Platform.
+    pub platform: Arc<Platform>,
+    /// Fabric.
+    pub fabric: Arc<Fabric>,
+    /// History of the run.
+    pub history: Arc<History>,
+    /// Running VMs by number.
+    pub vms: BTreeMap<usize, Vm>,
+    /// Backend servers by service.
+    pub servers: Vec<Vec<Arc<Server>>>,
+    shape: Shape,
+    plan: Plan,
+    ports: [u16; SERVICES.len()],
+    values: Vec<Arc<AtomicU64>>,
+    next_vm: usize,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+    /// Removed when the world is dropped.
+    folder: TempDir,
+}
+
+impl World {
+    /// Starts a data centre and waits until all VMs are ready.
+    pub async fn start(shape: Shape) -> std::io::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let history = Arc::new(History::default());
+        let fabric = Arc::new(Fabric::new(shape.seed, shape.faults));
+        let ports = free_ports::<4>()?;
+        let services = [ports[2], ports[3]];
+        let values: Vec<_> = SERVICES
+            .iter()
+            .map(|_| Arc::new(AtomicU64::new(1)))
+            .collect();
+        let counts = [shape.ledger_servers, shape.certificate_servers];
+        let mut servers = Vec::new();
+        for (index, name) in SERVICES.into_iter().enumerate() {
+            let mut started = Vec::new();
+            for _ in 0..counts[index] {
+                let value = values[index].clone();
+                let history = history.clone();
+                started.push(Server::start(name, shape.slots, shape.times, value, history).await?);
+            }
+            servers.push(started);
+        }
+        let platform = Platform::start(snapshot(&services, &servers)).await?;
+        let plan = Plan {
+            folder: folder.path().to_owned(),
+            data_centre: DATA_CENTRE.to_owned(),
+            platform_url: format!("http://{}", platform.address),
+            ports: Ports {
+                peer: ports[0],
+                admin: ports[1],
+            },
+            subnet: [rand::random_range(1..255), rand::random_range(0..=255)],
+            limits: shape.limits.clone(),
+        };
+        plan.write_key()?;
+        let mut world = Self {
+            platform,
+            fabric,
+            history,
+            vms: BTreeMap::new(),
+            servers,
+            next_vm: 0,
+            plan,
+            ports: services,
+            values,
+            tasks: Mutex::default(),
+            folder,
+            shape,
+        };
+        for _ in 0..world.shape.vms {
+            world.start_vm()?;
+        }
+        world.publish_vms(&[]);
+        for vm in world.vms.values() {
+            if !vm.wait_ready(world.vms.len()).await {
+                let log = world.log(vm.index);
+                return Err(std::io::Error::other(format!(
+                    "{} not ready:\n{log}",
+                    vm.name
+                )));
+            }
+        }
+        world.follow_fabric();
+        Ok(world)
+    }
+
+    /// Returns how callers reach a service.
+    pub fn target(&self, service: usize) -> Target {
+        Target {
+            service: SERVICES[service],
+            port: self.ports[service],
+        }
+    }
+
+    /// Opens a caller of a service.
+    pub async fn caller(&self, service: usize) -> std::io::Result<Arc<Caller>> {
+        Caller::open(
+            self.target(service),
+            self.fabric.clone(),
+            self.history.clone(),
+        )
+        .await
+    }
+
+    /// Runs a task until the world ends.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.lock().unwrap().push(tokio::spawn(task));
+    }
+
+    /// Starts one more VM and lists it; returns its number.
+    pub async fn join(&mut self) -> std::io::Result<usize> {
+        let index = self.start_vm()?;
+        self.publish_vms(&[]);
+        self.vms[&index].wait_ready(1).await;
+        sleep(LIST_LAG).await;
+        self.follow_fabric();
+        Ok(index)
+    }
+
+    /// Kills a VM; list and fabric learn of it after their lag.
+    pub async fn kill(&mut self, index: usize) {
+        if let Some(mut vm) = self.vms.remove(&index) {
+            vm.kill().await;
+        }
+        sleep(LIST_LAG).await;
+        self.follow_fabric();
+        self.publish_vms(&[]);
+    }
+
+    /// Stops a VM as planned: listed as leaving, out of the fabric after its lag, and
+    /// told to stop. Returns whether it exited with success.
+    pub async fn stop(&mut self, index: usize) -> bool {
+        self.publish_vms(&[index]);
+        let Some(mut vm) = self.vms.remove(&index) else {
+            return false;
+        };
+        vm.signal(Signal::SIGTERM);
+        sleep(LIST_LAG).await;
+        self.follow_fabric();
+        let status = vm.wait().await;
+        self.publish_vms(&[]);
+        status.is_some_and(|status| status.success())
+    }
+
+    /// Pauses a VM for a time.
+    pub async fn pause(&mut self, index: usize, time: Duration) {
+        if let Some(vm) = self.vms.get(&index) {
+            vm.signal(Signal::SIGSTOP);
+            sleep(time).await;
+            vm.signal(Signal::SIGCONT);
+        }
+    }
+
+    /// Publishes that backend server `index` of a service takes no new work.
+    pub fn drain(&self, service: usize, index: usize) -> u64 {
+        let endpoint = self.servers[service][index].address;
+        let number = self.publish_change(ServiceChange {
+            service: SERVICES[service].to_owned(),
+            draining: vec![endpoint.to_string()],
+            ..Default::default()
+        });
+        self.history.add(Event::Drained { endpoint });
+        number
+    }
+
+    /// Starts one more backend server and publishes it.
+    pub async fn add_server(&mut self, service: usize) -> std::io::Result<u64> {
+        let server = Server::start(
+            SERVICES[service],
+            self.shape.slots,
+            self.shape.times,
+            self.values[service].clone(),
+            self.history.clone(),
+        )
+        .await?;
+        let entry = endpoint_entry(&server);
+        self.servers[service].push(server);
+        Ok(self.publish_change(ServiceChange {
+            service: SERVICES[service].to_owned(),
+            added: vec![entry],
+            ..Default::default()
+        }))
+    }
+
+    /// Waits until all VMs have release `number` in force and returns the time since
+    /// the call; `None` when they do not in time.
+    pub async fn wait_release(&self, number: u64, limit: Duration) -> Option<Duration> {
+        let begun = std::time::Instant::now();
+        while begun.elapsed() < limit {
+            let mut is_everywhere = true;
+            for vm in self.vms.values() {
+                let report = vm.status().await;
+                is_everywhere &= report.is_some_and(|report| report.release >= number);
+            }
+            if is_everywhere {
+                return Some(begun.elapsed());
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        None
+    }
+
+    /// Notes the release numbers of all VMs once.
+    pub async fn sample_releases(&self) {
+        for vm in self.vms.values() {
+            if let Some(report) = vm.status().await {
+                self.history.add(Event::Release {
+                    vm: vm.index,
+                    incarnation: report.incarnation,
+                    number: report.release,
+                });
+            }
+        }
+    }
+
+    /// Lets time pass while noting release numbers.
+    pub async fn run_for(&self, time: Duration) {
+        let deadline = std::time::Instant::now() + time;
+        while std::time::Instant::now() < deadline {
+            self.sample_releases().await;
+            sleep(SAMPLE_INTERVAL).await;
+        }
+    }
+
+    /// Marks the end of the run and stops all tasks of the world.
+    pub fn close(&self) {
+        self.history.add(Event::Closing);
+        for task in self.tasks.lock().unwrap().drain(..) {
+            task.abort();
+        }
+    }
+
+    /// Returns the log of a VM.
+    pub fn log(&self, index: usize) -> String {
+        let path = self.folder.path().join(format!("vm-{index}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Returns the numbers of all VMs ever started.
+    pub fn started_vms(&self) -> std::ops::Range<usize> {
+        0..self.next_vm
+    }
+
+    fn start_vm(&mut self) -> std::io::Result<usize> {
+        let index = self.next_vm;
+        self.next_vm += 1;
+        let vm = self.plan.start(index)?;
+        self.vms.insert(index, vm);
+        Ok(index)
+    }
+
+    fn publish_vms(&self, leaving: &[usize]) {
+        let entries = self.vms.keys().map(|index| {
+            let state = if leaving.contains(index) {
+                "leaving"
+            } else {
+                "live"
+            };
+            self.plan.entry(*index, state)
+        });
+        self.platform.publish_vms(entries.collect());
+    }
+
+    fn follow_fabric(&self) {
+        self.fabric
+            .set_vms(self.vms.values().map(|vm| vm.ip).collect());
+    }
+
+    fn publish_change(&self, change: ServiceChange) -> u64 {
+        self.platform.publish(Note {
+            changed: vec![change],
+            ..Default::default()
+        })
+    }
+}
+
+fn snapshot(ports: &[u16], servers: &[Vec<Arc<Server>>]) -> Snapshot {
+    let services = SERVICES
+        .into_iter()
+        .enumerate()
+        .map(|(index, name)| ServiceEntry {
+            name: name.to_owned(),
+            kind: "requests".to_owned(),
+            address: SocketAddr::new([127, 0, 0, 1].into(), ports[index]).to_string(),
+            data_centres: vec![DATA_CENTRE.to_owned()],
+            endpoints: servers[index]
+                .iter()
+                .map(|server| endpoint_entry(server))
+                .collect(),
+        });
+    Snapshot {
+        number: 1,
+        services: services.collect(),
+    }
+}
+
+fn endpoint_entry(server: &Server) -> EndpointEntry {
+    EndpointEntry {
+        address: server.address.to_string(),
+        data_centre: DATA_CENTRE.to_owned(),
+        slots: server.slots,
+        draining: false,
+    }
+}
+
+/// Returns ports that are free on one loopback address, as a sign that they are on the
+/// others.
+fn free_ports<const COUNT: usize>() -> std::io::Result<[u16; COUNT]> {
+    let sockets: Vec<UdpSocket> = (0..COUNT)
+        .map(|_| UdpSocket::bind("127.0.0.1:0"))
+        .collect::<Result<_, _>>()?;
+    let mut ports = [0; COUNT];
+    for (port, socket) in ports.iter_mut().zip(&sockets) {
+        *port = socket.local_addr()?.port();
+    }
+    Ok(ports)
+}
