Keep a VM out of ownership until it has heard the others; reserve at all recent owners

Cause: traced with the churn case. A new VM greeted the others before their VM lists named it, had its frames refused, became ready seeing nobody and granted reservations to itself, while the real owner dispatched the same request. Ruled out on the way: expiry of exchange records, hand-over merging (the two executions were milliseconds apart, on two owners), retries after a shed answer.

Change: a VM joins only when every listed VM of its data centre has answered or 3 s have passed; health JOINING until then. A proven frame of an unlisted VM makes the receiver read the list. A reservation goes to the replica and to every VM ranked highest in a view of the last 60 s; two that ask each other resolve by VM id. Holders carry the incarnation, so that a VM returning under its name is not taken for the one that dispatched. Answers known after a hand-over reach the new owner. A refusal of an idempotent request says not run only where no other VM can have owned the flow within 60 s.

--- a/crates/ragwortbeam/src/dispatch/requests.rs
+++ b/crates/ragwortbeam/src/dispatch/requests.rs
@@ -57,7 +57,7 @@
     }
     let id = request.header.message_id;
     let is_idempotent = coap::is_idempotent(kind);
-    let me = node.members.view().me;
+    let me = node.members.process();
     let started = node.flows.with_or_open(key, |record| {
         record.is_owned = true;
         record.start(id, is_idempotent, me)
@@ -71,7 +71,7 @@
         }
         Ok(Start::HeldBy(holder)) => {
             if let Err(refusal) = reserve::judge_holder(node, holder) {
-                let answer = refusal_answer(node, service, &request, refusal);
+                let answer = refusal_answer(node, service, key, &request, refusal);
                 finish(node, key, id, false, answer);
             }
         }
@@ -98,17 +98,25 @@
     let deadline = begun + allowed(node, &request);
     let mut permit = None;
     if !is_idempotent {
-        match reserve::reserve(node, key, id).await {
+        let r = reserve::reserve(node, key, id).await;
+        let q = request
+            .get_option(coap_lite::CoapOption::UriQuery)
+            .and_then(|l| l.front().cloned())
+            .unwrap_or_default();
+        spdlog::info!(
+            "event=trial_reserve query={} key={} mid={id} rank={:?} {r:?}",
+            String::from_utf8_lossy(&q).trim_start_matches("id="),
+            key.caller,
+            node.members.view().rank(key.hash())
+        );
+        match r {
             Ok(Outcome::Granted(until)) => permit = Some(Permit::new(key, id, until)),
             Ok(Outcome::Answered(answer)) => {
                 return finish(node, key, id, false, answer);
             }
-            Ok(Outcome::Elsewhere) => {
-                node.flows.with(key, |record| record.abandon(id));
-                return;
-            }
+            Ok(Outcome::Elsewhere) => return,
             Err(refusal) => {
-                let answer = refusal_answer(node, service, &request, refusal);
+                let answer = refusal_answer(node, service, key, &request, refusal);
                 return finish(node, key, id, false, answer);
             }
         }
@@ -126,7 +134,7 @@
             histogram!("ragwortbeam_request_seconds").record(begun.elapsed());
             coap::encode(&answer).into()
         }
-        Err(refusal) => refusal_answer(node, service, &request, refusal),
+        Err(refusal) => refusal_answer(node, service, key, &request, refusal),
     };
     finish(node, key, id, is_idempotent, answer);
 }
@@ -203,16 +211,18 @@
 
 /// Refuses a request that has no exchange.
 fn refuse(node: &Arc<Node>, service: &Service, key: Key, request: &Packet, refusal: Refusal) {
-    let answer = refusal_answer(node, service, request, refusal);
+    let answer = refusal_answer(node, service, key, request, refusal);
     node.entry.send(key, &answer);
 }
 
 fn refusal_answer(
     node: &Arc<Node>,
     service: &Service,
+    key: Key,
     request: &Packet,
     refusal: Refusal,
 ) -> Arc<[u8]> {
+    let refusal = with_known_verdict(node, key, request, refusal);
     node.refusals.add(refusal.reason);
     let verdict = refusal.verdict.to_string();
     counter!("ragwortbeam_requests_total", "verdict" => verdict).increment(1);
@@ -221,6 +231,17 @@
     coap::encode(&coap::refuse(request, refusal, retry_after_s)).into()
 }
 
+/// Weakens a verdict that this VM cannot know: another VM may have run an idempotent
+/// request that the caller retransmits, while it owned the flow.
+fn with_known_verdict(node: &Node, key: Key, request: &Packet, refusal: Refusal) -> Refusal {
+    let is_idempotent = coap::request_type(request).is_some_and(coap::is_idempotent);
+    let is_certain = !is_idempotent || node.members.is_settled_owner(key.hash());
+    if is_certain || refusal.verdict != Verdict::NotRun {
+        return refusal;
+    }
+    Refusal::may_have_run(refusal.reason)
+}
+
 /// Sends the answer and, for a non-idempotent request, keeps and copies it.
 fn finish(node: &Node, key: Key, id: u16, is_idempotent: bool, answer: Arc<[u8]>) {
     node.flows.with(key, |record| record.finish(id, &answer));
--- a/crates/ragwortbeam/src/dispatch/reserve.rs
+++ b/crates/ragwortbeam/src/dispatch/reserve.rs
@@ -1,11 +1,12 @@
-//! Reservation of non-idempotent requests at the replica before their dispatch.
+//! Reservation of non-idempotent requests at other VMs before their dispatch.
 
 use std::time::Instant;
 
 use metrics::counter;
+use tokio::task::JoinSet;
 
 use crate::flow::Key;
-use crate::message::{ExchangeRecord, Reservation};
+use crate::message::{Reservation, ReservationAnswer};
 use crate::prelude::*;
 use crate::refusal::{Reason, Refusal};
 
@@ -18,48 +19,88 @@
 pub enum Outcome {
     /// This VM alone may dispatch the request until the instant.
     Granted(Instant),
-    /// The replica knows the answer.
+    /// A witness knows the answer.
     Answered(Arc<[u8]>),
-    /// Another VM that runs holds the request; it will answer.
+    /// Another process that runs holds the request; it will answer.
     Elsewhere,
 }
 
-/// Reserves an exchange at the replica.
+/// Reserves an exchange at all witnesses of its flow: the replica, and whoever may have
+/// served the flow under a recent view.
 ///
-/// A data centre with one VM has no replica, and its VM grants to itself.
+/// Two VMs that take themselves for the owner under different views have a witness in
+/// common, or one is the other's witness, as long as each has seen the other's view or
+/// the one before. A data centre with one VM has no witness, and its VM grants to itself.
 ///
 /// # Errors
 ///
 /// The refusal to answer with.
 pub async fn reserve(node: &Arc<Node>, key: Key, message_id: u16) -> Result<Outcome, Refusal> {
     let asked_at = Instant::now();
-    let view = node.members.view();
-    let Some(replica) = view.replica(key.hash()) else {
-        counter!("ragwortbeam_reservations_total", "outcome" => "alone").increment(1);
-        return Ok(Outcome::Granted(asked_at + VALIDITY));
-    };
     let reservation = Reservation {
         key: Some(key.to_message()),
         message_id: u32::from(message_id),
-        holder: view.me.0,
+        holder: Some(node.members.process().to_message()),
     };
-    let answer = node.peers.links.reserve(replica, reservation).await;
-    let outcome = match answer {
-        Err(_) => "unreachable",
-        Ok(ref answer) if answer.granted => "granted",
-        Ok(_) => "known",
-    };
-    counter!("ragwortbeam_reservations_total", "outcome" => outcome).increment(1);
-    let answer = answer.map_err(|_| Refusal::not_run(Reason::ReplicaUnreachable))?;
-    if answer.granted {
-        return Ok(Outcome::Granted(asked_at + VALIDITY));
+    let mut calls = JoinSet::new();
+    for witness in node.members.witnesses(key.hash()) {
+        let node = node.clone();
+        let reservation = reservation.clone();
+        calls.spawn(async move { node.peers.links.reserve(witness, reservation).await });
+    }
+    let mut outcome = Ok(Outcome::Granted(asked_at + VALIDITY));
+    while let Some(answer) = calls.join_next().await {
+        let answer = answer.unwrap_or_else(|error| Err(Error::peer(error)));
+        outcome = join(outcome, judge(node, key, message_id, answer, asked_at));
     }
-    match answer.known {
-        Some(known) => judge(node, &known),
-        None => Err(Refusal::not_run(Reason::ReplicaUnreachable)),
+    count(&outcome);
+    if let Ok(Outcome::Granted(_)) = outcome {
+        return Ok(grant(node, key, message_id, outcome?));
+    }
+    outcome
+}
+
+/// Returns the outcome unless this process has yielded to another in the meantime.
+fn grant(node: &Node, key: Key, message_id: u16, outcome: Outcome) -> Outcome {
+    let me = node.members.process();
+    let granted = node.flows.with(key, |record| record.grant(message_id, me));
+    if granted == Some(true) {
+        outcome
+    } else {
+        Outcome::Elsewhere
+    }
+}
+
+/// Joins what two witnesses say: an answer goes before a holder, a holder before a
+/// witness that did not answer, and a grant needs all of them.
+fn join(
+    one: Result<Outcome, Refusal>,
+    other: Result<Outcome, Refusal>,
+) -> Result<Outcome, Refusal> {
+    let weight = |outcome: &Result<Outcome, Refusal>| match outcome {
+        Ok(Outcome::Answered(_)) => 4,
+        Ok(Outcome::Elsewhere) => 3,
+        Err(refusal) if refusal.verdict == Verdict::MayHaveRun => 2,
+        Err(_) => 1,
+        Ok(Outcome::Granted(_)) => 0,
+    };
+    if weight(&other) > weight(&one) {
+        other
+    } else {
+        one
     }
 }
 
+fn count(outcome: &Result<Outcome, Refusal>) {
+    let outcome = match outcome {
+        Ok(Outcome::Granted(_)) => "granted",
+        Ok(Outcome::Answered(_)) => "answered",
+        Ok(Outcome::Elsewhere) => "elsewhere",
+        Err(_) => "refused",
+    };
+    counter!("ragwortbeam_reservations_total", "outcome" => outcome).increment(1);
+}
+
 /// Right to dispatch one reserved request.
 #[derive(Debug)]
 pub struct Permit {
@@ -100,12 +141,12 @@
     }
 }
 
-/// Says what a request that another VM holds means here.
+/// Says what a request that another process holds means here.
 ///
 /// # Errors
 ///
 /// [`Reason::OwnerLost`] when the holder runs no more.
-pub fn judge_holder(node: &Node, holder: id::Vm) -> Result<Outcome, Refusal> {
+pub fn judge_holder(node: &Node, holder: id::Process) -> Result<Outcome, Refusal> {
     if node.members.view().runs(holder) {
         Ok(Outcome::Elsewhere)
     } else {
@@ -113,10 +154,24 @@
     }
 }
 
-fn judge(node: &Node, known: &ExchangeRecord) -> Result<Outcome, Refusal> {
-    if known.answer.is_empty() {
-        judge_holder(node, id::Vm(known.holder))
-    } else {
-        Ok(Outcome::Answered(known.answer.clone().into()))
+fn judge(
+    node: &Node,
+    key: Key,
+    message_id: u16,
+    answer: Result<ReservationAnswer>,
+    asked_at: Instant,
+) -> Result<Outcome, Refusal> {
+    let unreachable = Refusal::not_run(Reason::ReplicaUnreachable);
+    let answer = answer.map_err(|_| unreachable)?;
+    if answer.granted {
+        return Ok(Outcome::Granted(asked_at + VALIDITY));
+    }
+    let known = answer.known.ok_or(unreachable)?;
+    if !known.answer.is_empty() {
+        return Ok(Outcome::Answered(known.answer.into()));
     }
+    let holder = id::Process::from_message(known.holder.unwrap_or_default());
+    node.flows
+        .with(key, |record| record.yield_to(message_id, holder));
+    judge_holder(node, holder)
 }
--- a/crates/ragwortbeam/src/flow/record.rs
+++ b/crates/ragwortbeam/src/flow/record.rs
@@ -6,7 +6,7 @@
 use crate::flow::Key;
 use crate::flow::exchange::{Exchange, Progress};
 use crate::id;
-use crate::message::{ExchangeRecord, FeedRecord, FlowRecord, TransferRecord};
+use crate::message::{ExchangeRecord, FeedRecord, FlowRecord, Process, TransferRecord};
 use crate::wire::coap::Token;
 
 /// Added to the next message id when a replica takes over, so that ids the lost owner
@@ -149,6 +149,7 @@
                 .copied()
                 .map(Transfer::to_message)
                 .collect(),
+            exchanges_only: !self.is_owned,
         }
     }
 
@@ -187,9 +188,8 @@
         match known {
             None => self.exchanges.push(exchange),
             Some(known) => {
-                if let (Progress::Held(_), Progress::Answered(_)) =
-                    (&known.progress, &exchange.progress)
-                {
+                let is_answered = matches!(known.progress, Progress::Answered(_));
+                if !is_answered && matches!(exchange.progress, Progress::Answered(_)) {
                     known.progress = exchange.progress;
                 }
             }
@@ -237,13 +237,33 @@
     }
 }
 
+impl id::Process {
+    /// Encodes the process for another VM.
+    pub fn to_message(self) -> Process {
+        Process {
+            vm: self.vm.0,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Decodes a process.
+    pub fn from_message(message: Process) -> Self {
+        Self {
+            vm: id::Vm(message.vm),
+            incarnation: message.incarnation,
+        }
+    }
+}
+
 impl Exchange {
     fn to_message(&self, now_ms: u64) -> ExchangeRecord {
         let (answer, holder) = match &self.progress {
             // Only idempotent exchanges run without a holder, and they are not sent.
-            Progress::Running => (Vec::new(), 0),
-            Progress::Held(holder) => (Vec::new(), holder.0),
-            Progress::Answered(answer) => (answer.to_vec(), 0),
+            Progress::Running => (Vec::new(), None),
+            Progress::Reserving(holder) | Progress::Held(holder) => {
+                (Vec::new(), Some(holder.to_message()))
+            }
+            Progress::Answered(answer) => (answer.to_vec(), None),
         };
         ExchangeRecord {
             message_id: u32::from(self.message_id),
@@ -255,7 +275,9 @@
 
     pub(super) fn from_message(message: &ExchangeRecord, now_ms: u64) -> Self {
         let progress = if message.answer.is_empty() {
-            Progress::Held(id::Vm(message.holder))
+            Progress::Held(id::Process::from_message(
+                message.holder.unwrap_or_default(),
+            ))
         } else {
             Progress::Answered(message.answer.clone().into())
         };
--- a/crates/ragwortbeam/src/flow/replication.rs
+++ b/crates/ragwortbeam/src/flow/replication.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-use super::exchange::{Exchange, Progress, Start};
+use super::exchange::{Exchange, Start};
 use super::{Key, Record};
 use crate::clock;
 use crate::message::{ExchangeRecord, FlowRecord, Records, Reservation, ReservationAnswer};
@@ -73,11 +73,9 @@
         };
         let record = node
             .flows
-            .with(key, |record| record.is_owned.then(|| record.to_message()))
-            .unwrap_or_else(|| Some(removed(key)));
-        if let Some(record) = record {
-            batches.entry(replica).or_default().push(record);
-        }
+            .with(key, |record| record.to_message())
+            .unwrap_or_else(|| removed(key));
+        batches.entry(replica).or_default().push(record);
     }
     for (replica, records) in batches {
         for records in records.chunks(RECORDS_PER_CALL) {
@@ -122,7 +120,7 @@
 }
 
 fn store_copy(record: &mut Record, message: &FlowRecord) {
-    if record.is_owned {
+    if record.is_owned || message.exchanges_only {
         let now_ms = clock::monotonic_ms();
         for exchange in &message.exchanges {
             let exchange = Exchange::from_message(exchange, now_ms);
@@ -134,33 +132,25 @@
     }
 }
 
-/// Records a reservation unless the exchange is known; `None` when it names no flow.
+/// Records a reservation unless the exchange is known; `None` when it names no flow or
+/// no holder.
 pub fn record(node: &Arc<Node>, reservation: &Reservation) -> Option<ReservationAnswer> {
     let key = Key::from_message(reservation.key.as_ref()?)?;
-    let holder = id::Vm(reservation.holder);
+    let holder = id::Process::from_message(reservation.holder?);
     let message_id = reservation.message_id as u16;
     let mut answer = ReservationAnswer {
         granted: false,
         known: None,
     };
     open_copy(node, key, |record| {
-        match record.start(message_id, false, holder) {
-            // The holder's own repeated reservation is idempotent.
+        match record.reserve_for(message_id, holder) {
             Start::New => answer.granted = true,
-            Start::Duplicate if is_held_by(record, message_id, holder) => answer.granted = true,
             _ => answer.known = known(record, message_id),
         }
     });
     Some(answer)
 }
 
-fn is_held_by(record: &Record, message_id: u16, holder: id::Vm) -> bool {
-    let exchanges = record.soft.iter().flat_map(|soft| &soft.exchanges);
-    exchanges
-        .filter(|exchange| exchange.message_id == message_id)
-        .any(|exchange| matches!(exchange.progress, Progress::Held(vm) if vm == holder))
-}
-
 fn known(record: &Record, message_id: u16) -> Option<ExchangeRecord> {
     let message = record.to_message();
     let mut exchanges = message.exchanges.into_iter();
--- a/crates/ragwortbeam/src/id.rs
+++ b/crates/ragwortbeam/src/id.rs
@@ -17,6 +17,15 @@
     }
 }
 
+/// One process of a VM. A VM that returns under the same name is another process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Process {
+    /// VM.
+    pub vm: Vm,
+    /// Start time, milliseconds since the Unix epoch.
+    pub incarnation: u64,
+}
+
 /// Names a service; the hash of its name.
 ///
 /// A release that would give two services one id is rejected.
--- a/crates/ragwortbeam/src/membership/mod.rs
+++ b/crates/ragwortbeam/src/membership/mod.rs
@@ -1,10 +1,12 @@
 //! Which VMs are alive: the platform's list joined with direct evidence from peers.
 
 mod probe;
+mod recent;
 mod rumours;
 mod table;
 mod view;
 
-pub use probe::{greet, ping, run};
+pub use probe::{greet, join, ping, run};
+pub use recent::Recent;
 pub use table::Table;
 pub use view::{Member, View};
--- a/crates/ragwortbeam/src/membership/probe.rs
+++ b/crates/ragwortbeam/src/membership/probe.rs
@@ -4,7 +4,7 @@
 
 use rand::seq::{IndexedRandom, SliceRandom};
 use spdlog::warn;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::View;
 use crate::clock;
@@ -27,15 +27,33 @@
 /// Lateness of a timer that shows that this process was paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(600);
 
-/// Time the first answers are waited for before the node takes part.
-const FIRST_ANSWERS: Duration = Duration::from_millis(300);
+/// How often a joining VM greets the others.
+const GREET_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time a joining VM waits for VMs that are listed but do not answer. The others
+/// may have to read the list first before they answer it.
+const GREET_LIMIT: Duration = Duration::from_secs(3);
+
+/// Greets the listed VMs of the data centre until all have answered or the limit is
+/// over, then takes part in ownership.
+///
+/// A VM that owned flows without having heard of the others would take itself for the
+/// only one and promise what it cannot keep.
+pub async fn join(node: &Arc<Node>) {
+    let deadline = Instant::now() + GREET_LIMIT;
+    while Instant::now() < deadline && !node.members.has_heard_all() {
+        greet(node);
+        sleep(GREET_INTERVAL).await;
+    }
+    node.members.join();
+    greet(node);
+}
 
-/// Probes all VMs of the data centre once and waits for their answers.
-pub async fn greet(node: &Arc<Node>) {
+/// Probes all VMs of the data centre once, to tell them of a change of this VM.
+pub fn greet(node: &Node) {
     for vm in neighbours(&node.members.view()) {
         ping(node, vm, 0);
     }
-    sleep(FIRST_ANSWERS).await;
 }
 
 /// Probes for the life of the node.
--- a/crates/ragwortbeam/src/membership/table.rs
+++ b/crates/ragwortbeam/src/membership/table.rs
@@ -8,8 +8,10 @@
 use spdlog::{info, warn};
 use tokio::sync::watch;
 
+use super::recent::Recent;
 use super::rumours::Rumours;
 use super::view::{Member, View};
+use crate::clock;
 use crate::document;
 use crate::id;
 use crate::message::{Health, Rumour};
@@ -35,7 +37,10 @@
     /// When each suspect became one, monotonic milliseconds.
     suspected_at: HashMap<id::Vm, u64>,
     rumours: Rumours,
+    recent: Recent,
     my_revision: u32,
+    /// True once this VM has heard of the others and may own flows.
+    has_joined: bool,
     /// True once this VM stops.
     stopping: bool,
     /// True while the platform lists this VM as leaving.
@@ -46,7 +51,7 @@
     /// Returns a table that knows only this VM.
     pub fn new(vm: &str, data_centre: &str, incarnation: u64) -> Self {
         let me = id::Vm::of(vm);
-        let view = View::new(me, data_centre, HashMap::new(), true);
+        let view = View::new(me, data_centre, HashMap::new(), false);
         Self {
             me,
             data_centre: data_centre.to_owned(),
@@ -71,6 +76,58 @@
         self.incarnation
     }
 
+    /// Returns this process.
+    pub fn process(&self) -> id::Process {
+        id::Process {
+            vm: self.me,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Returns the VMs, other than this one, that may know of a flow's exchanges: the
+    /// replica, and whoever was ranked highest in a recent view and still runs.
+    pub fn witnesses(&self, flow_hash: u64) -> Vec<id::Vm> {
+        let view = self.view();
+        let inner = self.inner.lock().unwrap();
+        let earlier = inner.recent.ranked(flow_hash, clock::monotonic_ms());
+        let mut witnesses: Vec<id::Vm> = view.replica(flow_hash).into_iter().collect();
+        for vm in earlier {
+            let runs = view.members.get(&vm).is_some_and(Member::runs);
+            if runs && !witnesses.contains(&vm) {
+                witnesses.push(vm);
+            }
+        }
+        witnesses
+    }
+
+    /// Returns whether this VM has been the owner of a flow for so long that no other
+    /// can have served a request that the caller still retransmits.
+    pub fn is_settled_owner(&self, flow_hash: u64) -> bool {
+        let is_owner = self.view().owner(flow_hash) == self.me;
+        let inner = self.inner.lock().unwrap();
+        let now_ms = clock::monotonic_ms();
+        is_owner && inner.recent.is_sole_owner(self.me, flow_hash, now_ms)
+    }
+
+    /// Returns whether every listed VM of this data centre has given a sign of life.
+    pub fn has_heard_all(&self) -> bool {
+        let view = self.view();
+        let mut neighbours = view
+            .members
+            .values()
+            .filter(|member| member.data_centre == self.data_centre && !member.listed_leaving);
+        neighbours.all(|member| member.incarnation != 0)
+    }
+
+    /// Lets this VM own flows and tells the others.
+    pub fn join(&self) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.has_joined = true;
+        let rumour = self.my_rumour(&inner);
+        inner.rumours.push(rumour);
+        self.publish(&mut inner);
+    }
+
     /// Returns the version of the VM list held.
     pub fn list_version(&self) -> u64 {
         self.inner.lock().unwrap().list_version
@@ -113,7 +170,7 @@
             inner.suspected_at.remove(&vm);
         }
         inner.members = members;
-        self.publish(&inner);
+        self.publish(&mut inner);
     }
 
     /// Notes a frame that a VM sent itself, which proves that this incarnation lives.
@@ -127,7 +184,7 @@
         }
         member.incarnation = incarnation;
         member.revision = 0;
-        member.health = Health::Alive;
+        member.health = Health::Joining;
         let rumour = rumour_of(vm, member);
         info!(
             "event=vm_joined vm={} incarnation={incarnation}",
@@ -135,7 +192,7 @@
         );
         inner.suspected_at.remove(&vm);
         inner.rumours.push(rumour);
-        self.publish(&inner);
+        self.publish(&mut inner);
     }
 
     /// Takes rumours from another VM.
@@ -154,14 +211,17 @@
         let rumour = {
             let inner = self.inner.lock().unwrap();
             match inner.members.get(&vm) {
+                Some(member) if member.incarnation == 0 => return,
                 Some(member) if member.health == Health::Alive => Rumour {
                     health: Health::Suspect.into(),
                     ..rumour_of(vm, member)
                 },
-                Some(member) if member.health == Health::Leaving => Rumour {
-                    health: Health::Dead.into(),
-                    ..rumour_of(vm, member)
-                },
+                Some(member) if !matches!(member.health, Health::Suspect | Health::Dead) => {
+                    Rumour {
+                        health: Health::Dead.into(),
+                        ..rumour_of(vm, member)
+                    }
+                }
                 _ => return,
             }
         };
@@ -205,7 +265,7 @@
         inner.my_revision += 1;
         let rumour = self.my_rumour(&inner);
         inner.rumours.push(rumour);
-        self.publish(&inner);
+        self.publish(&mut inner);
     }
 
     /// Returns whether this VM stops.
@@ -224,9 +284,7 @@
         {
             rumours.insert(0, rumour_of(receiver, member));
         }
-        if inner.stopping {
-            rumours.push(self.my_rumour(&inner));
-        }
+        rumours.push(self.my_rumour(&inner));
         rumours
     }
 
@@ -261,7 +319,7 @@
             counter!("ragwortbeam_vms_declared_dead_total").increment(1);
         }
         inner.rumours.push(*rumour);
-        self.publish(&inner);
+        self.publish(&mut inner);
     }
 
     /// Answers a rumour about this VM that is not true.
@@ -281,10 +339,10 @@
     }
 
     fn my_rumour(&self, inner: &Inner) -> Rumour {
-        let health = if inner.stopping {
-            Health::Leaving
-        } else {
-            Health::Alive
+        let health = match (inner.stopping, inner.has_joined) {
+            (true, _) => Health::Leaving,
+            (false, true) => Health::Alive,
+            (false, false) => Health::Joining,
         };
         Rumour {
             vm: self.me.0,
@@ -294,11 +352,14 @@
         }
     }
 
-    fn publish(&self, inner: &Inner) {
-        let may_own = !inner.stopping && !inner.listed_leaving;
+    fn publish(&self, inner: &mut Inner) {
+        let may_own = inner.has_joined && !inner.stopping && !inner.listed_leaving;
         let members = inner.members.clone();
-        let view = View::new(self.me, &self.data_centre, members, may_own);
-        self.view.send_replace(Arc::new(view));
+        let view = Arc::new(View::new(self.me, &self.data_centre, members, may_own));
+        let before = self.view.send_replace(view.clone());
+        if before.owners != view.owners {
+            inner.recent.push(before, clock::monotonic_ms());
+        }
     }
 }
 
@@ -310,7 +371,7 @@
         listed_leaving: entry.state == "leaving",
         incarnation: 0,
         revision: 0,
-        health: Health::Alive,
+        health: Health::Joining,
     };
     match known {
         Some(known) if known.address == address => Member {
--- a/crates/ragwortbeam/src/membership/view.rs
+++ b/crates/ragwortbeam/src/membership/view.rs
@@ -64,6 +64,17 @@
     pub second: Option<id::Vm>,
 }
 
+impl Rank {
+    /// Returns the higher-ranked VM that is not `vm`.
+    pub fn other_than(self, vm: id::Vm) -> Option<id::Vm> {
+        if self.first == vm {
+            self.second
+        } else {
+            Some(self.first)
+        }
+    }
+}
+
 impl View {
     /// Returns a view with these members, in which this VM may own or not.
     pub fn new(
@@ -119,17 +130,14 @@
 
     /// Returns the highest-ranked VM other than this one.
     pub fn replica(&self, flow_hash: u64) -> Option<id::Vm> {
-        let rank = self.rank(flow_hash)?;
-        if rank.first == self.me {
-            rank.second
-        } else {
-            Some(rank.first)
-        }
+        self.rank(flow_hash)?.other_than(self.me)
     }
 
-    /// Returns whether a VM is thought to run, this one included.
-    pub fn runs(&self, vm: id::Vm) -> bool {
-        vm == self.me || self.members.get(&vm).is_some_and(Member::runs)
+    /// Returns whether another VM's process is thought to run.
+    pub fn runs(&self, process: id::Process) -> bool {
+        self.members
+            .get(&process.vm)
+            .is_some_and(|member| member.runs() && member.incarnation <= process.incarnation)
     }
 
     /// Returns this VM's position in the order in which releases spread.
--- a/crates/ragwortbeam/src/node.rs
+++ b/crates/ragwortbeam/src/node.rs
@@ -62,6 +62,8 @@
     pub refusals: refusal::Counts,
     /// True while one pull of releases is in progress.
     pub is_pulling: AtomicBool,
+    /// True while, and for a time after, the VM list is read out of turn.
+    pub is_refreshing_list: AtomicBool,
     is_ready: AtomicBool,
     in_flight: Arc<AtomicUsize>,
     last_packet_ms: AtomicU64,
@@ -109,6 +111,7 @@
             pools: dispatch::Pools::default(),
             refusals: refusal::Counts::default(),
             is_pulling: AtomicBool::new(false),
+            is_refreshing_list: AtomicBool::new(false),
             is_ready: AtomicBool::new(false),
             in_flight: Arc::default(),
             last_packet_ms: AtomicU64::new(0),
@@ -117,13 +120,13 @@
         tokio::spawn(peer::serve(node.clone(), tcp, key));
         tokio::spawn(peer::receive::run(node.clone()));
         node.read_first_configuration().await;
-        membership::greet(&node).await;
-        tokio::spawn(membership::run(node.clone()));
-        tokio::spawn(platform::run(node.clone()));
+        tokio::spawn(entry::run(node.clone()));
+        tokio::spawn(backend::leaving::run(node.clone()));
         tokio::spawn(flow::replication::run(node.clone(), changed));
         tokio::spawn(flow::handover::run(node.clone()));
-        tokio::spawn(backend::leaving::run(node.clone()));
-        tokio::spawn(entry::run(node.clone()));
+        tokio::spawn(platform::run(node.clone()));
+        membership::join(&node).await;
+        tokio::spawn(membership::run(node.clone()));
         node.is_ready.store(true, Ordering::Release);
         info!(
             "event=ready vm={} incarnation={incarnation}",
@@ -141,7 +144,7 @@
         let deadline = Instant::now() + self.settings.limits.stop_timeout;
         self.is_ready.store(false, Ordering::Release);
         self.members.stop();
-        membership::greet(self).await;
+        membership::greet(self);
         let mut left = flow::handover::hand_over_all(self).await;
         while Instant::now() < deadline {
             if left == 0 && self.in_flight() == 0 && self.is_quiet() {
--- a/crates/ragwortbeam/src/peer/receive.rs
+++ b/crates/ragwortbeam/src/peer/receive.rs
@@ -11,6 +11,7 @@
 use crate::message::frame::Body;
 use crate::message::{Frame, PingRequest, Pong};
 use crate::peer::releases;
+use crate::platform;
 use crate::prelude::*;
 use crate::refusal::Reason;
 use crate::wire::frame::MAX_FRAME_LEN;
@@ -42,6 +43,8 @@
         .get(&sender)
         .is_some_and(|member| member.address == source);
     if !is_member {
+        // The key proves a VM that this one's list may lack.
+        platform::refresh_list(node);
         return Err(Reason::FrameStranger);
     }
     node.members.hear_from(sender, frame.incarnation);
--- a/crates/ragwortbeam/src/platform/mod.rs
+++ b/crates/ragwortbeam/src/platform/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 pub use http::Http;
-pub use watch::{read_all, run};
+pub use watch::{read_all, refresh_list, run};
 
 use crate::document;
 use crate::errors::Result;
--- a/crates/ragwortbeam/src/platform/watch.rs
+++ b/crates/ragwortbeam/src/platform/watch.rs
@@ -1,6 +1,7 @@
 //! Keeps release and VM list current: readers watch the platform, the others rely on
 //! peers and read only as a slow fallback.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use metrics::counter;
@@ -47,6 +48,22 @@
     read_snapshot(node).await
 }
 
+/// Reads the VM list outside of the usual interval, after a sign that it is outdated;
+/// at most once in [`LIST_INTERVAL`].
+pub fn refresh_list(node: &Arc<Node>) {
+    if node.is_refreshing_list.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let node = node.clone();
+    tokio::spawn(async move {
+        if let Err(error) = read_list(&node).await {
+            warn!("event=platform_read_failed error=\"{error}\"");
+        }
+        sleep(LIST_INTERVAL).await;
+        node.is_refreshing_list.store(false, Ordering::Release);
+    });
+}
+
 fn is_reader(node: &Node) -> bool {
     let view = node.members.view();
     view.spread_position()
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod checker;
 pub mod demo;
 pub mod fabric;
+pub mod faults;
 pub mod fleet;
 pub mod history;
 pub mod load;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use ragwortbeam_testbed::demo;
+use ragwortbeam_testbed::{demo, faults};
 
 /// Experiments with ragwortbeam on loopback.
 #[derive(FromArgs)]
@@ -18,6 +18,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(Demo),
+    Faults(Faults),
 }
 
 /// Run a small data centre under work and change for about 20 s.
@@ -25,6 +26,21 @@
 #[argh(subcommand, name = "demo")]
 struct Demo {}
 
+/// Break things under load, case by case, and check every promise.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "faults")]
+struct Faults {
+    /// seeds for each case
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// name of the only case to run
+    #[argh(option, default = "String::new()")]
+    case: String,
+    /// have the fabric duplicate and delay half of all packets
+    #[argh(switch)]
+    many_duplicates: bool,
+}
+
 fn main() -> ExitCode {
     if std::env::args().nth(1).as_deref() == Some("node") {
         return run_node();
@@ -33,6 +49,11 @@
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
     let outcome = match arguments.command {
         Command::Demo(_) => runtime.block_on(demo::run()),
+        Command::Faults(faults) => runtime.block_on(faults::run(&faults::Options {
+            seeds: faults.seeds,
+            case: faults.case,
+            many_duplicates: faults.many_duplicates,
+        })),
     };
     match outcome {
         Ok(true) => ExitCode::SUCCESS,
