Run a record at most once across a split data centre

Cause: with the network between the VMs cut in two (new testbed relay), one half dispatched before it noticed the cut, and the other half, which took the flow over, dispatched the caller's retransmission: both VMs that knew of the first dispatch were on the far side. A VM in a minority also dispatched, and a VM whose replica was unreachable told callers not run although the other half might still run a copy on its way.

Change: a reservation needs, for every view of the last 60 s, one of the two VMs ranked highest then, running the same process as then; where both are lost the caller is told may have run. A VM that sees no majority of the listed VMs dispatches nothing that may not run twice. Without a verdict that is sure to hold (replica out of reach, minority) the request stays without an answer, and the caller's retransmission starts it again.

The price: flows whose owner and replica are lost together get may have run for 60 s.

--- a/crates/ragwortbeam/src/dispatch/requests.rs
+++ b/crates/ragwortbeam/src/dispatch/requests.rs
@@ -114,7 +114,7 @@
             Ok(Outcome::Answered(answer)) => {
                 return finish(node, key, id, false, answer);
             }
-            Ok(Outcome::Elsewhere) => return,
+            Ok(Outcome::Elsewhere | Outcome::Unsettled(_)) => return,
             Err(refusal) => {
                 let answer = refusal_answer(node, service, key, &request, refusal);
                 return finish(node, key, id, false, answer);
--- a/crates/ragwortbeam/src/dispatch/reserve.rs
+++ b/crates/ragwortbeam/src/dispatch/reserve.rs
@@ -23,6 +23,9 @@
     Answered(Arc<[u8]>),
     /// Another process that runs holds the request; it will answer.
     Elsewhere,
+    /// Nobody may dispatch now. The caller gets no answer, as another VM may run its
+    /// retransmission, and no verdict of this VM would be true then.
+    Unsettled(Reason),
 }
 
 /// Reserves an exchange at all witnesses of its flow: the replica, and whoever may have
@@ -37,13 +40,18 @@
 /// The refusal to answer with.
 pub async fn reserve(node: &Arc<Node>, key: Key, message_id: u16) -> Result<Outcome, Refusal> {
     let asked_at = Instant::now();
+    if !node.members.has_majority() {
+        return Ok(unsettled(node, key, message_id, Reason::Minority));
+    }
+    let witnesses = node.members.witnesses(key.hash());
+    let witnesses = witnesses.ok_or(Refusal::may_have_run(Reason::OwnerLost))?;
     let reservation = Reservation {
         key: Some(key.to_message()),
         message_id: u32::from(message_id),
         holder: Some(node.members.process().to_message()),
     };
     let mut calls = JoinSet::new();
-    for witness in node.members.witnesses(key.hash()) {
+    for witness in witnesses {
         let node = node.clone();
         let reservation = reservation.clone();
         calls.spawn(async move { node.peers.links.reserve(witness, reservation).await });
@@ -54,10 +62,18 @@
         outcome = join(outcome, judge(node, key, message_id, answer, asked_at));
     }
     count(&outcome);
-    if let Ok(Outcome::Granted(_)) = outcome {
-        return Ok(grant(node, key, message_id, outcome?));
+    match outcome? {
+        outcome @ Outcome::Granted(_) => Ok(grant(node, key, message_id, outcome)),
+        Outcome::Unsettled(reason) => Ok(unsettled(node, key, message_id, reason)),
+        outcome => Ok(outcome),
     }
-    outcome
+}
+
+/// Forgets the exchange, so that the caller's retransmission starts it again.
+fn unsettled(node: &Node, key: Key, message_id: u16, reason: Reason) -> Outcome {
+    node.refusals.add(reason);
+    node.flows.with(key, |record| record.abandon(message_id));
+    Outcome::Unsettled(reason)
 }
 
 /// Returns the outcome unless this process has yielded to another in the meantime.
@@ -80,8 +96,8 @@
     let weight = |outcome: &Result<Outcome, Refusal>| match outcome {
         Ok(Outcome::Answered(_)) => 4,
         Ok(Outcome::Elsewhere) => 3,
-        Err(refusal) if refusal.verdict == Verdict::MayHaveRun => 2,
-        Err(_) => 1,
+        Err(_) => 2,
+        Ok(Outcome::Unsettled(_)) => 1,
         Ok(Outcome::Granted(_)) => 0,
     };
     if weight(&other) > weight(&one) {
@@ -96,6 +112,7 @@
         Ok(Outcome::Granted(_)) => "granted",
         Ok(Outcome::Answered(_)) => "answered",
         Ok(Outcome::Elsewhere) => "elsewhere",
+        Ok(Outcome::Unsettled(_)) => "unsettled",
         Err(_) => "refused",
     };
     counter!("ragwortbeam_reservations_total", "outcome" => outcome).increment(1);
@@ -134,7 +151,7 @@
                 self.valid_until = until;
                 Ok(())
             }
-            Outcome::Answered(_) | Outcome::Elsewhere => {
+            Outcome::Answered(_) | Outcome::Elsewhere | Outcome::Unsettled(_) => {
                 Err(Refusal::may_have_run(Reason::OwnerLost))
             }
         }
@@ -161,12 +178,15 @@
     answer: Result<ReservationAnswer>,
     asked_at: Instant,
 ) -> Result<Outcome, Refusal> {
-    let unreachable = Refusal::not_run(Reason::ReplicaUnreachable);
-    let answer = answer.map_err(|_| unreachable)?;
+    let Ok(answer) = answer else {
+        return Ok(Outcome::Unsettled(Reason::ReplicaUnreachable));
+    };
     if answer.granted {
         return Ok(Outcome::Granted(asked_at + VALIDITY));
     }
-    let known = answer.known.ok_or(unreachable)?;
+    let Some(known) = answer.known else {
+        return Ok(Outcome::Unsettled(Reason::ReplicaUnreachable));
+    };
     if !known.answer.is_empty() {
         return Ok(Outcome::Answered(known.answer.into()));
     }
--- a/crates/ragwortbeam/src/flow/exchange.rs
+++ b/crates/ragwortbeam/src/flow/exchange.rs
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Forgets an exchange that this process did not dispatch.
+    pub fn abandon(&mut self, message_id: u16) {
+        if let Some(soft) = &mut self.soft {
+            soft.exchanges
+                .retain(|exchange| exchange.message_id != message_id);
+        }
+        self.trim();
+    }
+
     fn expire_exchanges(&mut self) {
         let now_ms = clock::monotonic_ms();
         if let Some(soft) = &mut self.soft {
--- a/crates/ragwortbeam/src/membership/recent.rs
+++ b/crates/ragwortbeam/src/membership/recent.rs
@@ -39,17 +39,34 @@
         });
     }
 
-    /// Returns the two highest-ranked VMs of a flow in each view kept, each VM once.
-    pub fn ranked(&self, flow_hash: u64, now_ms: u64) -> Vec<id::Vm> {
-        let mut ranked = Vec::new();
-        for rank in self.kept(now_ms).filter_map(|view| view.rank(flow_hash)) {
-            for vm in [Some(rank.first), rank.second].into_iter().flatten() {
-                if !ranked.contains(&vm) {
-                    ranked.push(vm);
+    /// Returns the VMs, other than this one, that were ranked highest for a flow in a view
+    /// kept and whose processes of then still run.
+    ///
+    /// `None` when both VMs of one view are lost: what they dispatched under that view
+    /// nobody knows any more.
+    pub fn witnesses(&self, view: &View, flow_hash: u64, now_ms: u64) -> Option<Vec<id::Vm>> {
+        let mut witnesses = Vec::new();
+        for earlier in self.kept(now_ms) {
+            let Some(rank) = earlier.rank(flow_hash) else {
+                continue;
+            };
+            let pair = [Some(rank.first), rank.second];
+            let mut is_known = false;
+            for vm in pair.into_iter().flatten() {
+                if vm == view.me {
+                    is_known = true;
+                } else if view.still_runs(vm, earlier) {
+                    is_known = true;
+                    if !witnesses.contains(&vm) {
+                        witnesses.push(vm);
+                    }
                 }
             }
+            if !is_known {
+                return None;
+            }
         }
-        ranked
+        Some(witnesses)
     }
 
     /// Returns whether no view kept names another owner than `vm` for a flow.
--- a/crates/ragwortbeam/src/membership/table.rs
+++ b/crates/ragwortbeam/src/membership/table.rs
@@ -86,18 +86,19 @@
 
     /// Returns the VMs, other than this one, that may know of a flow's exchanges: the
     /// replica, and whoever was ranked highest in a recent view and still runs.
-    pub fn witnesses(&self, flow_hash: u64) -> Vec<id::Vm> {
+    ///
+    /// `None` when an earlier owner and its replica are both lost.
+    pub fn witnesses(&self, flow_hash: u64) -> Option<Vec<id::Vm>> {
         let view = self.view();
         let inner = self.inner.lock().unwrap();
-        let earlier = inner.recent.ranked(flow_hash, clock::monotonic_ms());
-        let mut witnesses: Vec<id::Vm> = view.replica(flow_hash).into_iter().collect();
-        for vm in earlier {
-            let runs = view.members.get(&vm).is_some_and(Member::runs);
-            if runs && !witnesses.contains(&vm) {
-                witnesses.push(vm);
-            }
+        let now_ms = clock::monotonic_ms();
+        let mut witnesses = inner.recent.witnesses(&view, flow_hash, now_ms)?;
+        if let Some(replica) = view.replica(flow_hash)
+            && !witnesses.contains(&replica)
+        {
+            witnesses.push(replica);
         }
-        witnesses
+        Some(witnesses)
     }
 
     /// Returns whether this VM has been the owner of a flow for so long that no other
@@ -109,6 +110,14 @@
         is_owner && inner.recent.is_sole_owner(self.me, flow_hash, now_ms)
     }
 
+    /// Returns whether this VM sees a majority of its data centre's listed VMs alive.
+    ///
+    /// Of two halves of equal size the one with the lowest VM id counts. A VM that the
+    /// platform lists as leaving, or that says it leaves, counts for neither side.
+    pub fn has_majority(&self) -> bool {
+        self.view().has_majority()
+    }
+
     /// Returns whether every listed VM of this data centre has given a sign of life.
     pub fn has_heard_all(&self) -> bool {
         let view = self.view();
--- a/crates/ragwortbeam/src/membership/view.rs
+++ b/crates/ragwortbeam/src/membership/view.rs
@@ -1,5 +1,6 @@
 //! One VM's view of the others and the choice of owners it implies.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -34,6 +35,12 @@
         lives && self.incarnation != 0 && !self.listed_leaving
     }
 
+    /// Returns whether it is listed as live but out of reach: dead, or never heard of.
+    pub fn is_lost(&self) -> bool {
+        let is_out_of_reach = self.health == Health::Dead || self.incarnation == 0;
+        is_out_of_reach && !self.listed_leaving
+    }
+
     /// Returns whether it is thought to run, leaving or not.
     pub fn runs(&self) -> bool {
         self.health != Health::Dead && self.incarnation != 0
@@ -104,6 +111,22 @@
         }
     }
 
+    /// Returns whether the owners are a majority of the VMs that would own flows if all
+    /// were alive; of two equal halves the one with the lowest id is.
+    pub fn has_majority(&self) -> bool {
+        let lost: Vec<id::Vm> = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.is_lost() && member.data_centre == self.data_centre)
+            .map(|(vm, _)| *vm)
+            .collect();
+        match self.owners.len().cmp(&lost.len()) {
+            Ordering::Greater => true,
+            Ordering::Equal => self.owners.first() < lost.iter().min(),
+            Ordering::Less => false,
+        }
+    }
+
     /// Ranks the owners for a flow's hash; `None` when nobody may own.
     pub fn rank(&self, flow_hash: u64) -> Option<Rank> {
         let mut best: Option<(u64, id::Vm)> = None;
@@ -140,6 +163,14 @@
             .is_some_and(|member| member.runs() && member.incarnation <= process.incarnation)
     }
 
+    /// Returns whether another VM runs the process that it ran in an earlier view.
+    pub fn still_runs(&self, vm: id::Vm, earlier: &Self) -> bool {
+        let now = self.members.get(&vm).filter(|member| member.runs());
+        let then = earlier.members.get(&vm);
+        now.zip(then)
+            .is_some_and(|(now, then)| now.incarnation == then.incarnation)
+    }
+
     /// Returns this VM's position in the order in which releases spread.
     pub fn spread_position(&self) -> Option<usize> {
         self.spread.iter().position(|vm| *vm == self.me)
--- a/crates/ragwortbeam/src/node.rs
+++ b/crates/ragwortbeam/src/node.rs
@@ -99,7 +99,7 @@
         let (replicas, changed) = flow::replication::Queue::new();
         let node = Arc::new(Self {
             platform: Box::new(platform::Http::new(&settings.platform_url)),
-            peers: peer::Peers::new(members.clone(), udp, &key),
+            peers: peer::Peers::new(members.clone(), udp, settings.peer_address.ip(), &key),
             flows: flow::Table::new(settings.limits.max_flows),
             members,
             replicas,
--- a/crates/ragwortbeam/src/peer/links.rs
+++ b/crates/ragwortbeam/src/peer/links.rs
@@ -1,6 +1,7 @@
 //! Calls to other VMs over tonic, one channel for each VM, opened on first use.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Mutex;
 
 use tonic::transport::{Channel, Endpoint};
@@ -29,15 +30,18 @@
 pub struct Links {
     members: Arc<membership::Table>,
     key: Key,
+    /// Source of calls, this VM's own peer IP.
+    local_ip: IpAddr,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
 }
 
 impl Links {
     /// Returns links with no channel open yet.
-    pub fn new(members: Arc<membership::Table>, key: Key) -> Self {
+    pub fn new(members: Arc<membership::Table>, key: Key, local_ip: IpAddr) -> Self {
         Self {
             members,
             key,
+            local_ip,
             channels: Mutex::default(),
         }
     }
@@ -110,6 +114,7 @@
             .map_err(Error::peer)?
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
+            .local_address(Some(self.local_ip))
             .connect_lazy();
         channels.insert(address, channel.clone());
         Ok(PeerClient::new(channel))
--- a/crates/ragwortbeam/src/peer/socket.rs
+++ b/crates/ragwortbeam/src/peer/socket.rs
@@ -1,6 +1,7 @@
 //! The UDP socket between VMs and the probes waiting for an answer on it.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -30,11 +31,16 @@
 
 impl Peers {
     /// Returns links that use `socket`, bound to the peer address.
-    pub fn new(members: Arc<membership::Table>, socket: UdpSocket, key: &Key) -> Self {
+    pub fn new(
+        members: Arc<membership::Table>,
+        socket: UdpSocket,
+        local_ip: IpAddr,
+        key: &Key,
+    ) -> Self {
         let me = members.view().me;
         let incarnation = members.incarnation();
         Self {
-            links: Links::new(members.clone(), key.clone()),
+            links: Links::new(members.clone(), key.clone(), local_ip),
             members,
             socket,
             sealer: Sealer::new(key.clone(), me, incarnation),
--- a/crates/ragwortbeam/src/refusal.rs
+++ b/crates/ragwortbeam/src/refusal.rs
@@ -84,6 +84,10 @@
     /// The replica VM did not record a non-idempotent request in time.
     #[display("replica_unreachable")]
     ReplicaUnreachable,
+    /// This VM sees no majority of the data centre's VMs, so another part may serve
+    /// non-idempotent requests.
+    #[display("minority")]
+    Minority,
     /// An earlier owner died between dispatch and answer.
     #[display("owner_lost")]
     OwnerLost,
--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 
 use crate::checker::{self, Outcomes};
@@ -19,6 +19,9 @@
 /// Time after the fault, above the feeds' freshness so that a lost feed shows.
 const AFTER: Duration = Duration::from_secs(10);
 
+/// Time for which the network is cut.
+const SPLIT: Duration = Duration::from_secs(6);
+
 type Action<'a> = Pin<Box<dyn Future<Output = std::io::Result<()>> + 'a>>;
 
 /// One kind of fault.
@@ -30,7 +33,7 @@
 }
 
 /// All kinds of faults.
-pub const CASES: [Case; 11] = [
+pub const CASES: [Case; 13] = [
     Case {
         name: "kill",
         act: |world, rng| Box::pin(kill(world, rng)),
@@ -113,6 +116,14 @@
             })
         },
     },
+    Case {
+        name: "split",
+        act: |world, rng| Box::pin(split(world, rng, 2)),
+    },
+    Case {
+        name: "split_off_one",
+        act: |world, rng| Box::pin(split(world, rng, 1)),
+    },
     Case {
         name: "join_and_kill",
         act: |world, rng| {
@@ -207,6 +218,17 @@
     Ok(())
 }
 
+/// Cuts `count` VMs off from the others for a while. The fabric still sprays all VMs.
+async fn split(world: &mut World, rng: &mut SmallRng, count: usize) -> std::io::Result<()> {
+    let mut ips: Vec<_> = world.vms.values().map(|vm| vm.ip).collect();
+    ips.shuffle(rng);
+    let (one, other) = ips.split_at(count);
+    world.network.split(one, other);
+    world.run_for(SPLIT).await;
+    world.network.heal();
+    Ok(())
+}
+
 async fn pause(world: &mut World, rng: &mut SmallRng) -> std::io::Result<()> {
     let index = any_vm(world, rng);
     let time = Duration::from_millis(rng.random_range(500..5000));
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -19,6 +19,9 @@
 /// Longest wait for a node to exit.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(40);
 
+/// Added to a node's number to give the last number of its relay's IP.
+const RELAY_OFFSET: u8 = 128;
+
 /// Ports that all nodes of a fleet use, each on its own IP.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -70,7 +73,7 @@
         VmEntry {
             name: name(index),
             data_centre: self.data_centre.clone(),
-            peer_address: SocketAddr::new(self.ip(index), self.ports.peer).to_string(),
+            peer_address: self.listed_address(index).to_string(),
             state: state.to_owned(),
         }
     }
@@ -82,7 +85,7 @@
             "vm": name(index),
             "data_centre": self.data_centre,
             "entry_ip": ip.to_string(),
-            "peer_address": SocketAddr::new(ip, self.ports.peer).to_string(),
+            "peer_address": self.real_address(index).to_string(),
             "admin_address": SocketAddr::new(ip, self.ports.admin).to_string(),
             "key_file": self.folder.join("key"),
             "platform_url": self.platform_url,
@@ -111,6 +114,18 @@
         })
     }
 
+    /// Returns the address that node `index` binds for other VMs.
+    pub fn real_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(index), self.ports.peer)
+    }
+
+    /// Returns the address under which the platform lists node `index`.
+    pub fn listed_address(&self, index: usize) -> SocketAddr {
+        let [second, third] = self.subnet;
+        let listed = Ipv4Addr::new(127, second, third, index as u8 + RELAY_OFFSET);
+        SocketAddr::new(listed.into(), self.ports.peer)
+    }
+
     fn ip(&self, index: usize) -> IpAddr {
         let [second, third] = self.subnet;
         IpAddr::V4(Ipv4Addr::new(127, second, third, index as u8 + 1))
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod history;
 pub mod load;
+pub mod network;
 pub mod platform;
 pub mod server;
 pub mod world;
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -16,6 +16,7 @@
 use crate::fabric::{Fabric, Faults};
 use crate::fleet::{Plan, Ports, Vm};
 use crate::history::{Event, History};
+use crate::network::Network;
 use crate::platform::Platform;
 use crate::server::{Server, Times};
 
@@ -70,6 +71,8 @@
 pub struct World {
     /// Platform.
     pub platform: Arc<Platform>,
+    /// Network between the VMs.
+    pub network: Arc<Network>,
     /// Fabric.
     pub fabric: Arc<Fabric>,
     /// History of the run.
@@ -125,6 +128,7 @@
         };
         plan.write_key()?;
         let mut world = Self {
+            network: Arc::default(),
             platform,
             fabric,
             history,
@@ -139,7 +143,7 @@
             shape,
         };
         for _ in 0..world.shape.vms {
-            world.start_vm()?;
+            world.start_vm().await?;
         }
         world.publish_vms(&[]);
         for vm in world.vms.values() {
@@ -180,7 +184,7 @@
 
     /// Starts one more VM and lists it; returns its number.
     pub async fn join(&mut self) -> std::io::Result<usize> {
-        let index = self.start_vm()?;
+        let index = self.start_vm().await?;
         self.publish_vms(&[]);
         self.vms[&index].wait_ready(1).await;
         sleep(LIST_LAG).await;
@@ -296,6 +300,7 @@
     /// Marks the end of the run and stops all tasks of the world.
     pub fn close(&self) {
         self.history.add(Event::Closing);
+        self.network.close();
         for task in self.tasks.lock().unwrap().drain(..) {
             task.abort();
         }
@@ -312,9 +317,12 @@
         0..self.next_vm
     }
 
-    fn start_vm(&mut self) -> std::io::Result<usize> {
+    async fn start_vm(&mut self) -> std::io::Result<usize> {
         let index = self.next_vm;
         self.next_vm += 1;
+        let real = self.plan.real_address(index);
+        let listed = self.plan.listed_address(index);
+        self.network.add(real, listed).await?;
         let vm = self.plan.start(index)?;
         self.vms.insert(index, vm);
         Ok(index)
