--- a/crates/ragwortbeam/src/membership/table.rs
+++ b/crates/ragwortbeam/src/membership/table.rs
@@ -366,7 +366,8 @@
         let members = inner.members.clone();
         let view = Arc::new(View::new(self.me, &self.data_centre, members, may_own));
         let before = self.view.send_replace(view.clone());
-        if before.owners != view.owners {
+        // What a joining VM has heard so far is nobody's view; the last state counts.
+        if inner.has_joined && before.owners != view.owners {
             inner.recent.push(before, clock::monotonic_ms());
         }
     }
--- a/crates/ragwortbeam/src/peer/receive.rs
+++ b/crates/ragwortbeam/src/peer/receive.rs
@@ -35,18 +35,19 @@
 }
 
 fn take(node: &Arc<Node>, datagram: &[u8], source: SocketAddr) -> Result<(), Reason> {
-    let frame = node.peers.opener().open(datagram, clock::wall_ms())?;
-    let sender = id::Vm(frame.sender);
     let view = node.members.view();
-    let is_member = view
-        .members
-        .get(&sender)
-        .is_some_and(|member| member.address == source);
-    if !is_member {
+    let is_member = |sender| {
+        let member = view.members.get(&sender);
+        member.is_some_and(|member| member.address == source)
+    };
+    let opener = node.peers.opener();
+    let frame = opener.open(datagram, clock::wall_ms(), is_member);
+    if frame == Err(Reason::FrameStranger) {
         // The key proves a VM that this one's list may lack.
         platform::refresh_list(node);
-        return Err(Reason::FrameStranger);
     }
+    let frame = frame?;
+    let sender = id::Vm(frame.sender);
     node.members.hear_from(sender, frame.incarnation);
     handle(node, sender, frame);
     Ok(())
--- a/crates/ragwortbeam/src/wire/frame.rs
+++ b/crates/ragwortbeam/src/wire/frame.rs
@@ -126,12 +126,18 @@
         }
     }
 
-    /// Verifies and decodes a datagram.
+    /// Verifies and decodes a datagram of a sender that `is_member` accepts.
     ///
     /// # Errors
     ///
-    /// The reason to count. A refused frame changes nothing.
-    pub fn open(&self, datagram: &[u8], now_ms: u64) -> Result<Frame, Reason> {
+    /// The reason to count. A refused frame changes nothing, so that neither a stranger
+    /// nor an old frame can shut out a member's next one.
+    pub fn open(
+        &self,
+        datagram: &[u8],
+        now_ms: u64,
+        is_member: impl FnOnce(id::Vm) -> bool,
+    ) -> Result<Frame, Reason> {
         if datagram.len() > MAX_FRAME_LEN {
             return Err(Reason::FrameLong);
         }
@@ -149,6 +155,9 @@
         if frame.sent_at_ms.abs_diff(now_ms) > MAX_SKEW_MS {
             return Err(Reason::FrameStale);
         }
+        if !is_member(id::Vm(frame.sender)) {
+            return Err(Reason::FrameStranger);
+        }
         let mut windows = self.windows.lock().unwrap();
         let window = windows
             .entry(id::Vm(frame.sender))
--- /dev/null
+++ b/crates/ragwortbeam/tests/frames.rs
@@ -0,0 +1,198 @@
+//! Peer frames: what is refused, and why.
+
+use proptest::prelude::*;
+use prost::Message;
+use ragwortbeam::clock;
+use ragwortbeam::id;
+use ragwortbeam::message::frame::Body;
+use ragwortbeam::message::{Frame, Ping};
+use ragwortbeam::refusal::Reason;
+use ragwortbeam::wire::frame::{Key, MAX_FRAME_LEN, MAX_SKEW_MS, Opener, Sealer};
+
+struct Case {
+    name: &'static str,
+    datagram: Vec<u8>,
+    reason: Reason,
+}
+
+fn key() -> Key {
+    Key::derive(&[7; 32])
+}
+
+fn sealer(incarnation: u64) -> Sealer {
+    Sealer::new(key(), id::Vm::of("vm-1"), incarnation)
+}
+
+fn anybody(_: id::Vm) -> bool {
+    true
+}
+
+fn ping() -> Body {
+    Body::Ping(Ping {
+        nonce: 3,
+        ..Ping::default()
+    })
+}
+
+/// Seals a frame as it is.
+fn seal(frame: &Frame) -> Vec<u8> {
+    let mut datagram = frame.encode_to_vec();
+    let mac = key().mac(&datagram);
+    datagram.extend_from_slice(&mac);
+    datagram
+}
+
+fn frame(sent_at_ms: u64, body: Option<Body>) -> Frame {
+    Frame {
+        sender: 1,
+        incarnation: 1,
+        sequence: 1,
+        sent_at_ms,
+        body,
+    }
+}
+
+#[test]
+fn bad_frames_are_refused_with_their_reason() {
+    let now_ms = clock::wall_ms();
+    let good = sealer(1).seal(ping());
+    let mut flipped = good.clone();
+    flipped[3] ^= 1;
+    let mut undecodable = vec![0xff; 12];
+    let mac = key().mac(&undecodable);
+    undecodable.extend_from_slice(&mac);
+    let other_key = Sealer::new(Key::derive(&[8; 32]), id::Vm::of("vm-1"), 1);
+    let cases = [
+        Case {
+            name: "empty",
+            datagram: Vec::new(),
+            reason: Reason::FrameShort,
+        },
+        Case {
+            name: "only a MAC",
+            datagram: vec![0; 16],
+            reason: Reason::FrameShort,
+        },
+        Case {
+            name: "oversized",
+            datagram: vec![0; MAX_FRAME_LEN + 1],
+            reason: Reason::FrameLong,
+        },
+        Case {
+            name: "truncated",
+            datagram: good[..good.len() - 1].to_vec(),
+            reason: Reason::FrameMac,
+        },
+        Case {
+            name: "one bit changed",
+            datagram: flipped,
+            reason: Reason::FrameMac,
+        },
+        Case {
+            name: "another key",
+            datagram: other_key.seal(ping()),
+            reason: Reason::FrameMac,
+        },
+        Case {
+            name: "no protobuf",
+            datagram: undecodable,
+            reason: Reason::FrameMalformed,
+        },
+        Case {
+            name: "unknown kind",
+            datagram: seal(&frame(now_ms, None)),
+            reason: Reason::FrameUnknownKind,
+        },
+        Case {
+            name: "too old",
+            datagram: seal(&frame(now_ms - MAX_SKEW_MS - 1, Some(ping()))),
+            reason: Reason::FrameStale,
+        },
+        Case {
+            name: "from the future",
+            datagram: seal(&frame(now_ms + MAX_SKEW_MS + 1, Some(ping()))),
+            reason: Reason::FrameStale,
+        },
+    ];
+    let opener = Opener::new(key());
+    for case in cases {
+        let refused = opener.open(&case.datagram, now_ms, anybody);
+        assert_eq!(refused, Err(case.reason), "{}", case.name);
+    }
+    assert!(opener.open(&good, now_ms, anybody).is_ok());
+}
+
+#[test]
+fn a_replayed_frame_is_refused() {
+    let now_ms = clock::wall_ms();
+    let opener = Opener::new(key());
+    let sealer = sealer(1);
+    let frames: Vec<_> = (0..2000).map(|_| sealer.seal(ping())).collect();
+    assert!(opener.open(&frames[5], now_ms, anybody).is_ok());
+    assert!(
+        opener.open(&frames[2], now_ms, anybody).is_ok(),
+        "overtaken"
+    );
+    assert_eq!(
+        opener.open(&frames[5], now_ms, anybody),
+        Err(Reason::FrameReplayed)
+    );
+    assert_eq!(
+        opener.open(&frames[2], now_ms, anybody),
+        Err(Reason::FrameReplayed)
+    );
+    assert!(opener.open(&frames[1999], now_ms, anybody).is_ok());
+    assert_eq!(
+        opener.open(&frames[3], now_ms, anybody),
+        Err(Reason::FrameReplayed),
+        "below the window"
+    );
+    assert!(opener.open(&frames[1998], now_ms, anybody).is_ok());
+}
+
+#[test]
+fn an_earlier_incarnation_is_refused() {
+    let now_ms = clock::wall_ms();
+    let opener = Opener::new(key());
+    let before = sealer(1);
+    assert!(opener.open(&before.seal(ping()), now_ms, anybody).is_ok());
+    assert!(
+        opener
+            .open(&sealer(2).seal(ping()), now_ms, anybody)
+            .is_ok()
+    );
+    assert_eq!(
+        opener.open(&before.seal(ping()), now_ms, anybody),
+        Err(Reason::FrameReplayed)
+    );
+}
+
+#[test]
+fn a_stranger_cannot_shut_out_a_member() {
+    let now_ms = clock::wall_ms();
+    let opener = Opener::new(key());
+    let later = sealer(u64::MAX).seal(ping());
+    assert_eq!(
+        opener.open(&later, now_ms, |_| false),
+        Err(Reason::FrameStranger)
+    );
+    assert!(
+        opener
+            .open(&sealer(1).seal(ping()), now_ms, anybody)
+            .is_ok()
+    );
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_refused_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..256)) {
+        prop_assert!(Opener::new(key()).open(&bytes, clock::wall_ms(), anybody).is_err());
+    }
+
+    #[test]
+    fn any_sealed_bytes_do_not_panic(bytes in proptest::collection::vec(any::<u8>(), 1..256)) {
+        let mut datagram = bytes.clone();
+        datagram.extend_from_slice(&key().mac(&bytes));
+        let _ = Opener::new(key()).open(&datagram, clock::wall_ms(), anybody);
+    }
+}
--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -175,7 +175,6 @@
 
 /// Runs one case with one seed.
 pub async fn run_case(case: &Case, seed: u64, many_duplicates: bool) -> std::io::Result<Outcomes> {
-    let mut rng = SmallRng::seed_from_u64(seed);
     let faults = if many_duplicates {
         Faults {
             duplication: 0.5,
@@ -186,13 +185,19 @@
     } else {
         Faults::default()
     };
-    let mut world = World::start(Shape {
+    let shape = Shape {
         seed,
         faults,
         ..Shape::default()
-    })
-    .await?;
-    load::start(&world, Load::default()).await?;
+    };
+    run_in(shape, Load::default(), case).await
+}
+
+/// Runs one case in a world of this shape, with the shape's seed.
+pub async fn run_in(shape: Shape, load: Load, case: &Case) -> std::io::Result<Outcomes> {
+    let mut rng = SmallRng::seed_from_u64(shape.seed);
+    let mut world = World::start(shape).await?;
+    load::start(&world, load).await?;
     world.run_for(BEFORE).await;
     (case.act)(&mut world, &mut rng).await?;
     world.run_for(AFTER).await;
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -46,6 +46,8 @@
     pub subnet: [u8; 2],
     /// Limits in the settings file.
     pub limits: serde_json::Value,
+    /// The testbed's executable, which also runs nodes.
+    pub executable: PathBuf,
 }
 
 /// One VM's process.
@@ -97,7 +99,7 @@
             .create(true)
             .append(true)
             .open(self.folder.join(format!("{}.log", name(index))))?;
-        let child = Command::new(std::env::current_exe()?)
+        let child = Command::new(&self.executable)
             .args(["node", "--settings"])
             .arg(&path)
             .stdin(Stdio::null())
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -50,6 +51,8 @@
     pub seed: u64,
     /// Limits in the nodes' settings.
     pub limits: serde_json::Value,
+    /// The testbed's executable; the running one where empty.
+    pub executable: PathBuf,
 }
 
 impl Default for Shape {
@@ -63,6 +66,7 @@
             faults: Faults::default(),
             seed: 1,
             limits: serde_json::json!({}),
+            executable: PathBuf::new(),
         }
     }
 }
@@ -125,6 +129,11 @@
             },
             subnet: [rand::random_range(1..255), rand::random_range(0..=255)],
             limits: shape.limits.clone(),
+            executable: if shape.executable.as_os_str().is_empty() {
+                std::env::current_exe()?
+            } else {
+                shape.executable.clone()
+            },
         };
         plan.write_key()?;
         let mut world = Self {
@@ -159,6 +168,22 @@
         Ok(world)
     }
 
+    /// Returns the address at which a VM serves callers of a service.
+    pub fn entry_address(&self, index: usize, service: usize) -> SocketAddr {
+        let ip = self.plan.real_address(index).ip();
+        SocketAddr::new(ip, self.ports[service])
+    }
+
+    /// Returns what the nodes of this world have in common.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Returns the key that the VMs share.
+    pub fn key(&self) -> std::io::Result<Vec<u8>> {
+        std::fs::read(self.folder.path().join("key"))
+    }
+
     /// Returns how callers reach a service.
     pub fn target(&self, service: usize) -> Target {
         Target {
--- /dev/null
+++ b/crates/testbed/tests/checker.rs
@@ -0,0 +1,165 @@
+//! The checker finds each broken promise, and nothing in a good history.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ragwortbeam::verdict::Verdict;
+use ragwortbeam_testbed::checker::{Promise, check};
+use ragwortbeam_testbed::history::{Entry, Event, Id, Work};
+
+const FRESHNESS: Duration = Duration::from_secs(8);
+
+struct Case {
+    broken: Promise,
+    /// Events with their times, milliseconds.
+    events: Vec<(u64, Event)>,
+}
+
+fn history(events: Vec<(u64, Event)>) -> Vec<Entry> {
+    let start = Instant::now();
+    let entries = events.into_iter().map(|(ms, event)| Entry {
+        at: start + Duration::from_millis(ms),
+        event,
+    });
+    entries.collect()
+}
+
+fn server() -> SocketAddr {
+    "127.0.0.1:4000".parse().unwrap()
+}
+
+fn invoked(id: u64, work: Work) -> Event {
+    Event::Invoked {
+        id: Id(id),
+        work,
+        service: "ledger",
+    }
+}
+
+fn executed(id: u64, work: Work) -> Event {
+    Event::Executed {
+        id: Id(id),
+        work,
+        service: "ledger",
+        meant_for: "ledger".to_owned(),
+        endpoint: server(),
+    }
+}
+
+fn answered(id: u64, verdict: Verdict) -> Event {
+    Event::Answered {
+        id: Id(id),
+        verdict,
+        is_whole: true,
+    }
+}
+
+fn notified(id: u64, value: u64) -> Event {
+    Event::Notified { id: Id(id), value }
+}
+
+fn release(incarnation: u64, number: u64) -> Event {
+    Event::Release {
+        vm: 1,
+        incarnation,
+        number,
+    }
+}
+
+fn good() -> Vec<(u64, Event)> {
+    vec![
+        (0, invoked(1, Work::Post)),
+        (1, executed(1, Work::Post)),
+        (2, answered(1, Verdict::Ran)),
+        (3, invoked(2, Work::Post)),
+        (4, answered(2, Verdict::NotRun)),
+        (5, invoked(3, Work::Post)),
+        (6, answered(3, Verdict::MayHaveRun)),
+        (7, invoked(4, Work::Feed)),
+        (8, notified(4, 1)),
+        (9, release(1, 5)),
+        (10, release(1, 6)),
+        (11, release(2, 5)),
+        (7000, notified(4, 2)),
+        (7001, Event::Drained { endpoint: server() }),
+        (9000, executed(9, Work::Fetch)),
+        (14_000, Event::Closing),
+    ]
+}
+
+#[test]
+fn a_good_history_breaks_nothing() {
+    let outcomes = check(&history(good()), FRESHNESS);
+    for (promise, outcome) in outcomes {
+        assert!(
+            outcome.violations.is_empty(),
+            "{promise}: {:?}",
+            outcome.violations
+        );
+        assert!(outcome.tried > 0, "{promise}");
+    }
+}
+
+#[test]
+fn each_broken_promise_is_found_and_no_other() {
+    let wrong_service = Event::Executed {
+        id: Id(8),
+        work: Work::Fetch,
+        service: "ledger",
+        meant_for: "certificates".to_owned(),
+        endpoint: "127.0.0.1:4001".parse().unwrap(),
+    };
+    let partial = Event::Answered {
+        id: Id(1),
+        verdict: Verdict::Ran,
+        is_whole: false,
+    };
+    let cases = [
+        Case {
+            broken: Promise::AtMostOnce,
+            events: vec![(1, executed(1, Work::Post))],
+        },
+        Case {
+            broken: Promise::NotRunMeansNotRun,
+            events: vec![(20, executed(2, Work::Post))],
+        },
+        Case {
+            broken: Promise::RanMeansRan,
+            events: vec![(20, answered(3, Verdict::Ran))],
+        },
+        Case {
+            broken: Promise::RightService,
+            events: vec![(20, wrong_service)],
+        },
+        Case {
+            broken: Promise::OwnWholeAnswer,
+            events: vec![(20, partial)],
+        },
+        Case {
+            broken: Promise::FeedContinuity,
+            events: vec![(20, notified(5, 1))],
+        },
+        Case {
+            broken: Promise::NoWorkAfterLeaving,
+            events: vec![(10_100, executed(10, Work::Fetch))],
+        },
+        Case {
+            broken: Promise::ReleaseMonotone,
+            events: vec![(20, release(1, 4))],
+        },
+    ];
+    for case in cases {
+        let mut events = good();
+        events.extend(case.events);
+        events.sort_by_key(|(ms, _)| *ms);
+        let outcomes = check(&history(events), FRESHNESS);
+        for (promise, outcome) in outcomes {
+            assert_eq!(
+                !outcome.violations.is_empty(),
+                promise == case.broken,
+                "{promise} in the case of {}",
+                case.broken
+            );
+        }
+    }
+}
