Measure capacity slopes and prove datagram affinity in the testbed

Cause: docs/CAPACITY.md needs slopes of the product's own code, and the datagrams kind of service was carried by nothing in the testbed.

--- a/crates/testbed/src/checker.rs
+++ b/crates/testbed/src/checker.rs
@@ -25,6 +25,8 @@
     RightService,
     /// Each caller gets the whole answer to its own request.
     OwnWholeAnswer,
+    /// A datagram flow stays with one backend server and gets its own answers.
+    DatagramAffinity,
     /// No feed has a gap longer than its freshness allows.
     FeedContinuity,
     /// A leaving backend server gets no new work after the bound.
@@ -41,6 +43,7 @@
             Self::RanMeansRan => "ran means ran",
             Self::RightService => "right service",
             Self::OwnWholeAnswer => "own and whole answer",
+            Self::DatagramAffinity => "datagram affinity",
             Self::FeedContinuity => "feed continuity",
             Self::NoWorkAfterLeaving => "no work after leaving",
             Self::ReleaseMonotone => "release never reverts",
@@ -66,6 +69,7 @@
     let mut outcomes = Outcomes::new();
     check_requests(entries, &mut outcomes);
     check_services(entries, &mut outcomes);
+    check_datagrams(entries, &mut outcomes);
     check_feeds(entries, freshness, &mut outcomes);
     check_drains(entries, &mut outcomes);
     check_releases(entries, &mut outcomes);
@@ -150,6 +154,24 @@
     }
 }
 
+fn check_datagrams(entries: &[Entry], outcomes: &mut Outcomes) {
+    let mut servers: HashMap<Id, u16> = HashMap::new();
+    for entry in entries {
+        let Event::Echoed { id, server, is_own } = entry.event else {
+            continue;
+        };
+        let first = *servers.entry(id).or_insert(server);
+        let violation = if !is_own {
+            Some(format!("{id:?} got another flow's datagram"))
+        } else if first != server {
+            Some(format!("{id:?} moved from server {first} to {server}"))
+        } else {
+            None
+        };
+        note(outcomes, Promise::DatagramAffinity, violation);
+    }
+}
+
 fn check_feeds(entries: &[Entry], freshness: Duration, outcomes: &mut Outcomes) {
     let end = entries
         .iter()
--- a/crates/testbed/src/history.rs
+++ b/crates/testbed/src/history.rs
@@ -68,6 +68,15 @@
         /// Value of the reading.
         value: u64,
     },
+    /// A caller of a `datagrams` service got an echo.
+    Echoed {
+        /// Flow.
+        id: Id,
+        /// Port of the server.
+        server: u16,
+        /// Whether the payload is what this flow sent.
+        is_own: bool,
+    },
     /// A release that takes a backend server out of new work was published.
     Drained {
         /// Backend server.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,8 +3,10 @@
 #![forbid(unsafe_code)]
 
 pub mod caller;
+pub mod capacity;
 pub mod checker;
 pub mod demo;
+pub mod echo;
 pub mod fabric;
 pub mod faults;
 pub mod fleet;
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -21,6 +21,8 @@
 pub struct Load {
     /// Feeds kept open.
     pub feeds: usize,
+    /// Datagram flows kept going.
+    pub streams: usize,
     /// Callers that post records one after the other.
     pub posters: usize,
     /// Callers that fetch certificates one after the other.
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             feeds: 40,
+            streams: 20,
             posters: 16,
             fetchers: 8,
             pause: Duration::from_millis(60),
@@ -66,6 +69,9 @@
         let caller = world.caller(LEDGER).await?;
         world.spawn(async move { caller.watch().await });
     }
+    for _ in 0..load.streams {
+        world.start_stream();
+    }
     for _ in 0..load.posters {
         let caller = world.caller(LEDGER).await?;
         let latencies = latencies.clone();
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,13 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use ragwortbeam_testbed::{demo, faults};
+use ragwortbeam_testbed::{capacity, demo, faults};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::alloc::System;
+
+/// Counts allocations for the capacity measurements.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Experiments with ragwortbeam on loopback.
 #[derive(FromArgs)]
@@ -19,6 +25,7 @@
 enum Command {
     Demo(Demo),
     Faults(Faults),
+    Capacity(Capacity),
 }
 
 /// Run a small data centre under work and change for about 20 s.
@@ -41,6 +48,11 @@
     many_duplicates: bool,
 }
 
+/// Measure the slopes that docs/CAPACITY.md uses.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct Capacity {}
+
 fn main() -> ExitCode {
     if std::env::args().nth(1).as_deref() == Some("node") {
         return run_node();
@@ -49,6 +61,10 @@
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
     let outcome = match arguments.command {
         Command::Demo(_) => runtime.block_on(demo::run()),
+        Command::Capacity(_) => {
+            capacity::run(ALLOCATOR);
+            Ok(true)
+        }
         Command::Faults(faults) => runtime.block_on(faults::run(&faults::Options {
             seeds: faults.seeds,
             case: faults.case,
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::caller::{Caller, Target};
+use crate::echo::{self, Echo};
 use crate::fabric::{Fabric, Faults};
 use crate::fleet::{Plan, Ports, Vm};
 use crate::history::{Event, History};
@@ -29,9 +30,15 @@
 /// How often the release numbers of all VMs are noted.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Names of the services in a world, in order of their ports.
+/// Names of the `requests` services in a world, in order of their ports.
 pub const SERVICES: [&str; 2] = ["ledger", "certificates"];
 
+/// Name of the `datagrams` service, whose port follows theirs.
+const DATAGRAM_SERVICE: &str = "gauges";
+
+/// Servers of the `datagrams` service.
+const ECHO_SERVERS: usize = 4;
+
 /// Sizes and faults of a world.
 #[derive(Clone, Debug)]
 pub struct Shape {
@@ -85,9 +92,11 @@
     pub vms: BTreeMap<usize, Vm>,
     /// Backend servers by service.
     pub servers: Vec<Vec<Arc<Server>>>,
+    /// Backend servers of the `datagrams` service.
+    pub echoes: Vec<Echo>,
     shape: Shape,
     plan: Plan,
-    ports: [u16; SERVICES.len()],
+    ports: [u16; SERVICES.len() + 1],
     values: Vec<Arc<AtomicU64>>,
     next_vm: usize,
     tasks: Mutex<Vec<JoinHandle<()>>>,
@@ -101,8 +110,8 @@
         let folder = tempfile::tempdir()?;
         let history = Arc::new(History::default());
         let fabric = Arc::new(Fabric::new(shape.seed, shape.faults));
-        let ports = free_ports::<4>()?;
-        let services = [ports[2], ports[3]];
+        let ports = free_ports::<5>()?;
+        let services = [ports[2], ports[3], ports[4]];
         let values: Vec<_> = SERVICES
             .iter()
             .map(|_| Arc::new(AtomicU64::new(1)))
@@ -118,7 +127,11 @@
             }
             servers.push(started);
         }
-        let platform = Platform::start(snapshot(&services, &servers)).await?;
+        let mut echoes = Vec::new();
+        for _ in 0..ECHO_SERVERS {
+            echoes.push(Echo::start().await?);
+        }
+        let platform = Platform::start(snapshot(&services, &servers, &echoes)).await?;
         let plan = Plan {
             folder: folder.path().to_owned(),
             data_centre: DATA_CENTRE.to_owned(),
@@ -143,6 +156,7 @@
             history,
             vms: BTreeMap::new(),
             servers,
+            echoes,
             next_vm: 0,
             plan,
             ports: services,
@@ -192,6 +206,19 @@
         }
     }
 
+    /// Starts a caller of the `datagrams` service.
+    pub fn start_stream(&self) {
+        let target = Target {
+            service: DATAGRAM_SERVICE,
+            port: self.ports[SERVICES.len()],
+        };
+        self.spawn(echo::stream(
+            target,
+            self.fabric.clone(),
+            self.history.clone(),
+        ));
+    }
+
     /// Opens a caller of a service.
     pub async fn caller(&self, service: usize) -> std::io::Result<Arc<Caller>> {
         Caller::open(
@@ -378,23 +405,38 @@
     }
 }
 
-fn snapshot(ports: &[u16], servers: &[Vec<Arc<Server>>]) -> Snapshot {
-    let services = SERVICES
-        .into_iter()
-        .enumerate()
-        .map(|(index, name)| ServiceEntry {
-            name: name.to_owned(),
-            kind: "requests".to_owned(),
-            address: SocketAddr::new([127, 0, 0, 1].into(), ports[index]).to_string(),
-            data_centres: vec![DATA_CENTRE.to_owned()],
-            endpoints: servers[index]
-                .iter()
-                .map(|server| endpoint_entry(server))
-                .collect(),
-        });
+fn snapshot(ports: &[u16], servers: &[Vec<Arc<Server>>], echoes: &[Echo]) -> Snapshot {
+    let requests = SERVICES.into_iter().enumerate().map(|(index, name)| {
+        let endpoints = servers[index].iter().map(|server| endpoint_entry(server));
+        service_entry(name, "requests", ports[index], endpoints.collect())
+    });
+    let mut services: Vec<ServiceEntry> = requests.collect();
+    let endpoints = echoes.iter().map(|echo| EndpointEntry {
+        address: echo.address.to_string(),
+        data_centre: DATA_CENTRE.to_owned(),
+        slots: 1,
+        draining: false,
+    });
+    let port = ports[SERVICES.len()];
+    services.push(service_entry(
+        DATAGRAM_SERVICE,
+        "datagrams",
+        port,
+        endpoints.collect(),
+    ));
     Snapshot {
         number: 1,
-        services: services.collect(),
+        services,
+    }
+}
+
+fn service_entry(name: &str, kind: &str, port: u16, endpoints: Vec<EndpointEntry>) -> ServiceEntry {
+    ServiceEntry {
+        name: name.to_owned(),
+        kind: kind.to_owned(),
+        address: SocketAddr::new([127, 0, 0, 1].into(), port).to_string(),
+        data_centres: vec![DATA_CENTRE.to_owned()],
+        endpoints,
     }
 }
 
--- a/crates/testbed/tests/checker.rs
+++ b/crates/testbed/tests/checker.rs
@@ -58,6 +58,14 @@
     Event::Notified { id: Id(id), value }
 }
 
+fn echoed(id: u64, server: u16, is_own: bool) -> Event {
+    Event::Echoed {
+        id: Id(id),
+        server,
+        is_own,
+    }
+}
+
 fn release(incarnation: u64, number: u64) -> Event {
     Event::Release {
         vm: 1,
@@ -77,6 +85,8 @@
         (6, answered(3, Verdict::MayHaveRun)),
         (7, invoked(4, Work::Feed)),
         (8, notified(4, 1)),
+        (9, echoed(5, 4000, true)),
+        (9, echoed(6, 4001, true)),
         (9, release(1, 5)),
         (10, release(1, 6)),
         (11, release(2, 5)),
@@ -135,6 +145,14 @@
             broken: Promise::OwnWholeAnswer,
             events: vec![(20, partial)],
         },
+        Case {
+            broken: Promise::DatagramAffinity,
+            events: vec![(20, echoed(5, 4001, true))],
+        },
+        Case {
+            broken: Promise::DatagramAffinity,
+            events: vec![(20, echoed(5, 4000, false))],
+        },
         Case {
             broken: Promise::FeedContinuity,
             events: vec![(20, notified(5, 1))],
--- a/crates/testbed/tests/faults.rs
+++ b/crates/testbed/tests/faults.rs
@@ -10,12 +10,13 @@
 use ragwortbeam_testbed::world::Shape;
 
 /// Promises whose verdict does not depend on time.
-const TIMELESS: [Promise; 6] = [
+const TIMELESS: [Promise; 7] = [
     Promise::AtMostOnce,
     Promise::NotRunMeansNotRun,
     Promise::RanMeansRan,
     Promise::RightService,
     Promise::OwnWholeAnswer,
+    Promise::DatagramAffinity,
     Promise::ReleaseMonotone,
 ];
 
@@ -30,6 +31,7 @@
 fn load() -> Load {
     Load {
         feeds: 6,
+        streams: 6,
         posters: 6,
         fetchers: 3,
         pause: Duration::from_millis(80),
@@ -50,6 +52,7 @@
     }
     assert!(outcomes[&Promise::AtMostOnce].tried > 0);
     assert!(outcomes[&Promise::RanMeansRan].tried > 0);
+    assert!(outcomes[&Promise::DatagramAffinity].tried > 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
