--- a/crates/ragwortbeam/src/node.rs
+++ b/crates/ragwortbeam/src/node.rs
@@ -207,14 +207,14 @@
         quiet_ms >= QUIET.as_millis() as u64
     }
 
-    /// Reads the first configuration from the platform, or waits for other VMs to call.
+    /// Reads the first configuration from the platform or else from the seeds.
     async fn read_first_configuration(self: &Arc<Self>) {
         loop {
             match platform::read_all(self).await {
                 Ok(()) => return,
                 Err(error) => warn!("event=first_read_failed error=\"{error}\""),
             }
-            if self.releases.number() > 0 {
+            if peer::releases::pull_from_seeds(self).await {
                 return;
             }
             sleep(FIRST_READ_PAUSE).await;
--- a/crates/ragwortbeam/src/peer/links.rs
+++ b/crates/ragwortbeam/src/peer/links.rs
@@ -90,6 +90,20 @@
         finish(client.releases(self.request(query, CALL_TIMEOUT)).await)
     }
 
+    /// Asks for releases at an address, before this VM has a list.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Peer`]; ask another VM.
+    pub async fn releases_at(
+        &self,
+        address: SocketAddr,
+        query: ReleaseQuery,
+    ) -> Result<ReleaseAnswer> {
+        let mut client = PeerClient::new(self.channel(address)?);
+        finish(client.releases(self.request(query, CALL_TIMEOUT)).await)
+    }
+
     /// Offers releases.
     ///
     /// # Errors
@@ -106,9 +120,13 @@
         let address = member
             .ok_or_else(|| Error::peer(format!("{vm} is not listed")))?
             .address;
+        self.channel(address).map(PeerClient::new)
+    }
+
+    fn channel(&self, address: SocketAddr) -> Result<Channel> {
         let mut channels = self.channels.lock().unwrap();
         if let Some(channel) = channels.get(&address) {
-            return Ok(PeerClient::new(channel.clone()));
+            return Ok(channel.clone());
         }
         let channel = Endpoint::from_shared(format!("http://{address}"))
             .map_err(Error::peer)?
@@ -117,7 +135,7 @@
             .local_address(Some(self.local_ip))
             .connect_lazy();
         channels.insert(address, channel.clone());
-        Ok(PeerClient::new(channel))
+        Ok(channel)
     }
 
     fn request<T>(&self, message: T, allowed: Duration) -> Request<T> {
--- a/crates/ragwortbeam/src/peer/releases.rs
+++ b/crates/ragwortbeam/src/peer/releases.rs
@@ -77,6 +77,21 @@
     }
 }
 
+/// Asks the VMs of the settings for the first configuration; returns whether one had it.
+pub async fn pull_from_seeds(node: &Arc<Node>) -> bool {
+    for seed in &node.settings.seeds {
+        let links = &node.peers.links;
+        match links.releases_at(*seed, ReleaseQuery::default()).await {
+            Ok(answer) => take(node, answer).await,
+            Err(error) => debug!("event=release_pull_failed seed={seed} error=\"{error}\""),
+        }
+        if node.releases.number() > 0 {
+            return true;
+        }
+    }
+    false
+}
+
 /// Asks a VM of another data centre, when the platform does not answer here.
 pub async fn pull_from_elsewhere(node: &Arc<Node>) {
     let view = node.members.view();
--- a/crates/ragwortbeam/src/settings/check.rs
+++ b/crates/ragwortbeam/src/settings/check.rs
@@ -42,7 +42,17 @@
     if !document.platform_url.starts_with("http://") {
         return Err(check.fault("platform_url", "an http:// URL", &document.platform_url));
     }
+    let mut seeds = Vec::new();
+    for (index, text) in document
+        .seeds
+        .iter()
+        .flat_map(|seeds| &seeds.addresses)
+        .enumerate()
+    {
+        seeds.push(check.address(&format!("seeds.addresses[{index}]"), text)?);
+    }
     Ok(Settings {
+        seeds,
         vm: check.name("vm", document.vm)?,
         data_centre: check.name("data_centre", document.data_centre)?,
         entry_ip,
--- a/crates/ragwortbeam/src/settings/mod.rs
+++ b/crates/ragwortbeam/src/settings/mod.rs
@@ -46,6 +46,8 @@
     pub platform_url: String,
     /// Limits.
     pub limits: Limits,
+    /// Peer addresses of VMs to ask when the platform does not answer at the start.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Checked limits.
--- a/crates/ragwortbeam/tests/settings.rs
+++ b/crates/ragwortbeam/tests/settings.rs
@@ -116,6 +116,11 @@
                 "settings.json: limits.max_flow: expected a document as docs/OPERATORS.md describes, found unknown field `max_flow`, expected one of `max_flows`, `queue_per_service`, `request_deadline_ms`, `stop_timeout_ms`, `flow_idle_ms`, `retry_percent`, `endpoint_choice` at line 1 column 96"
             ],
         },
+        Case {
+            field: "seeds",
+            value: json!({"addresses": ["10.0.0.2:7400", "vm-3"]}),
+            fault: expect!["settings.json: seeds.addresses[1]: expected IP:port, found vm-3"],
+        },
         Case {
             field: "limits.endpoint_choice",
             value: json!("best"),
--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -33,7 +33,7 @@
 }
 
 /// All kinds of faults.
-pub const CASES: [Case; 13] = [
+pub const CASES: [Case; 15] = [
     Case {
         name: "kill",
         act: |world, rng| Box::pin(kill(world, rng)),
@@ -116,6 +116,27 @@
             })
         },
     },
+    Case {
+        name: "restart",
+        act: |world, rng| {
+            Box::pin(async move {
+                let index = any_vm(world, rng);
+                world.restart(index).await
+            })
+        },
+    },
+    Case {
+        name: "restart_without_platform",
+        act: |world, rng| {
+            Box::pin(async move {
+                world.platform.set_down(true);
+                let index = any_vm(world, rng);
+                world.restart(index).await?;
+                world.platform.set_down(false);
+                Ok(())
+            })
+        },
+    },
     Case {
         name: "split",
         act: |world, rng| Box::pin(split(world, rng, 2)),
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -22,6 +22,9 @@
 /// Added to a node's number to give the last number of its relay's IP.
 const RELAY_OFFSET: u8 = 128;
 
+/// Nodes among which each has two others as seeds.
+const SEED_SPAN: usize = 4;
+
 /// Ports that all nodes of a fleet use, each on its own IP.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -92,6 +95,10 @@
             "key_file": self.folder.join("key"),
             "platform_url": self.platform_url,
             "limits": self.limits,
+            "seeds": {"addresses": [
+                self.listed_address((index + 1) % SEED_SPAN).to_string(),
+                self.listed_address((index + 2) % SEED_SPAN).to_string(),
+            ]},
         });
         let path = self.folder.join(format!("{}.json", name(index)));
         std::fs::write(&path, settings.to_string())?;
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -259,6 +259,23 @@
         self.publish_vms(&[]);
     }
 
+    /// Kills a VM and starts it again under its name, without telling the platform.
+    pub async fn restart(&mut self, index: usize) -> std::io::Result<()> {
+        if let Some(vm) = self.vms.get_mut(&index) {
+            vm.kill().await;
+        }
+        let vm = self.plan.start(index)?;
+        let is_ready = vm.wait_ready(1).await;
+        self.vms.insert(index, vm);
+        if !is_ready {
+            let log = self.log(index);
+            return Err(std::io::Error::other(format!(
+                "vm-{index} not ready:\n{log}"
+            )));
+        }
+        Ok(())
+    }
+
     /// Stops a VM as planned: listed as leaving, out of the fabric after its lag, and
     /// told to stop. Returns whether it exited with success.
     pub async fn stop(&mut self, index: usize) -> bool {
