Measure the crest of demand; check that feeds open; share members between views

Change: testbed crest (1x to 6x within 2 s and back, open loop). The checker has a promise of its own for opening, bounded by RFC 7252's MAX_TRANSMIT_SPAN of 45 s; a trace of one late feed (8.2 s) showed the first packet and its first retransmission lost by the fabric and to the killed VM, which the caller's timers allow. Members are shared between views; a link reads 2,048 bytes.

--- a/crates/ragwortbeam/src/backend/link.rs
+++ b/crates/ragwortbeam/src/backend/link.rs
@@ -21,8 +21,8 @@
 /// First retransmission timeout towards backend servers, which stand near.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest datagram read.
-const MAX_DATAGRAM_LEN: usize = 65_535;
+/// Largest datagram read; a message of 1,280 bytes and some room.
+const MAX_DATAGRAM_LEN: usize = 2048;
 
 /// Why an endpoint gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ragwortbeam/src/membership/table.rs
+++ b/crates/ragwortbeam/src/membership/table.rs
@@ -33,7 +33,7 @@
 struct Inner {
     list_version: u64,
     list: document::VmList,
-    members: HashMap<id::Vm, Member>,
+    members: HashMap<id::Vm, Arc<Member>>,
     /// When each suspect became one, monotonic milliseconds.
     suspected_at: HashMap<id::Vm, u64>,
     rumours: Rumours,
@@ -173,7 +173,8 @@
                 continue;
             };
             let known = inner.members.remove(&vm);
-            members.insert(vm, listed_member(entry, address, known));
+            let member = listed_member(entry, address, known.as_deref());
+            members.insert(vm, Arc::new(member));
         }
         let gone: Vec<id::Vm> = inner.members.keys().copied().collect();
         for vm in gone {
@@ -193,6 +194,7 @@
         if incarnation <= member.incarnation {
             return;
         }
+        let member = Arc::make_mut(member);
         member.incarnation = incarnation;
         member.revision = 0;
         member.health = Health::Joining;
@@ -315,6 +317,7 @@
             return;
         }
         let before = member.health;
+        let member = Arc::make_mut(member);
         member.incarnation = rumour.incarnation;
         member.revision = rumour.revision;
         member.health = rumour.health();
@@ -390,7 +393,7 @@
     }
 }
 
-fn listed_member(entry: &document::VmEntry, address: SocketAddr, known: Option<Member>) -> Member {
+fn listed_member(entry: &document::VmEntry, address: SocketAddr, known: Option<&Member>) -> Member {
     let fresh = Member {
         name: entry.name.clone(),
         address,
--- a/crates/ragwortbeam/src/membership/view.rs
+++ b/crates/ragwortbeam/src/membership/view.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -58,7 +59,9 @@
     /// VMs of this data centre that may own flows, in order of id.
     pub owners: Vec<id::Vm>,
     /// All listed VMs but this one.
-    pub members: HashMap<id::Vm, Member>,
+    ///
+    /// Shared between views, so that a view costs little more than its keys.
+    pub members: HashMap<id::Vm, Arc<Member>>,
     /// `owners` in the order in which releases spread.
     pub(super) spread: Vec<id::Vm>,
 }
@@ -88,7 +91,7 @@
     pub fn new(
         me: id::Vm,
         data_centre: &str,
-        members: HashMap<id::Vm, Member>,
+        members: HashMap<id::Vm, Arc<Member>>,
         may_own: bool,
     ) -> Self {
         let mut owners: Vec<id::Vm> = members
--- a/crates/ragwortbeam/tests/membership.rs
+++ b/crates/ragwortbeam/tests/membership.rs
@@ -1,6 +1,7 @@
 //! Views, ownership and the evidence they rest on.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use ragwortbeam::document::{VmEntry, VmList};
 use ragwortbeam::id;
@@ -22,9 +23,9 @@
 }
 
 fn view(others: &[(&str, Health)]) -> View {
-    let members: HashMap<id::Vm, Member> = others
+    let members: HashMap<id::Vm, Arc<Member>> = others
         .iter()
-        .map(|(name, health)| (id::Vm::of(name), member(name, *health)))
+        .map(|(name, health)| (id::Vm::of(name), Arc::new(member(name, *health))))
         .collect();
     View::new(id::Vm::of("me"), DATA_CENTRE, members, true)
 }
@@ -140,7 +141,7 @@
             (other[1], Health::Dead),
         ]
         .into_iter()
-        .map(|(name, health)| (id::Vm::of(name), member(name, health)))
+        .map(|(name, health)| (id::Vm::of(name), Arc::new(member(name, health))))
         .collect();
         View::new(id::Vm::of(mine[0]), DATA_CENTRE, members, true).has_majority()
     };
--- a/crates/testbed/src/capacity.rs
+++ b/crates/testbed/src/capacity.rs
@@ -2,6 +2,7 @@
 
 use std::hint::black_box;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
 use prost::Message;
@@ -74,6 +75,7 @@
     report("flow_open", "ns", flow_open());
     report("flow_packet", "ns", flow_packet());
     report("owner_lookup", "ns", owner_lookup());
+    report("view_memory", "bytes", view_memory(allocator));
     report("release_apply", "us", release_apply());
     report("release_delta", "bytes", release_delta());
     report("snapshot", "bytes", snapshot_bytes());
@@ -167,7 +169,7 @@
             revision: 0,
             health: Health::Alive,
         };
-        (id::Vm::of(&member.name), member)
+        (id::Vm::of(&member.name), Arc::new(member))
     });
     View::new(id::Vm::of("me"), DATA_CENTRE, members.collect(), true)
 }
@@ -186,6 +188,19 @@
     [17, 69, 138, 275, 300].into_iter().map(measure).collect()
 }
 
+/// Memory of one more view of a fleet, as kept for each change of the owners.
+fn view_memory(allocator: &'static StatsAlloc<System>) -> Vec<Point> {
+    let measure = |vms: u32| {
+        let view = view(vms);
+        let region = Region::new(allocator);
+        let kept = black_box(view.clone());
+        let bytes = region.change().bytes_allocated as f64;
+        drop(kept);
+        point(vms, bytes)
+    };
+    [1000, 2000, 4400].into_iter().map(measure).collect()
+}
+
 fn endpoints(range: std::ops::Range<u32>) -> Vec<EndpointEntry> {
     let entry = |index: u32| EndpointEntry {
         address: SocketAddr::new((0x0a80_0000 + index).to_be_bytes().into(), 5683).to_string(),
@@ -297,7 +312,7 @@
 
 fn record_with_feeds(index: u32, feeds: u32) -> Record {
     let mut record = Record::new(key(index));
-    let request: std::sync::Arc<[u8]> = vec![0; 48].into();
+    let request: Arc<[u8]> = vec![0; 48].into();
     for feed in 0..feeds {
         record.soft_mut().feeds.push(Feed {
             token: Token::new(&feed.to_be_bytes()),
--- a/crates/testbed/src/checker.rs
+++ b/crates/testbed/src/checker.rs
@@ -12,6 +12,10 @@
 /// Time within which new work to a leaving backend server has to stop.
 pub const DRAIN_BOUND: Duration = Duration::from_secs(3);
 
+/// Time within which a feed opens: MAX_TRANSMIT_SPAN of RFC 7252, section 4.8.2. The
+/// fabric may lose a registration several times.
+pub const OPENING_BOUND: Duration = Duration::from_secs(45);
+
 /// A promise of the brief.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Promise {
@@ -27,6 +31,8 @@
     OwnWholeAnswer,
     /// A datagram flow stays with one backend server and gets its own answers.
     DatagramAffinity,
+    /// A feed opens while its caller retransmits the registration.
+    FeedOpening,
     /// No feed has a gap longer than its freshness allows.
     FeedContinuity,
     /// A leaving backend server gets no new work after the bound.
@@ -44,6 +50,7 @@
             Self::RightService => "right service",
             Self::OwnWholeAnswer => "own and whole answer",
             Self::DatagramAffinity => "datagram affinity",
+            Self::FeedOpening => "feed opening",
             Self::FeedContinuity => "feed continuity",
             Self::NoWorkAfterLeaving => "no work after leaving",
             Self::ReleaseMonotone => "release never reverts",
@@ -178,7 +185,15 @@
         .find(|entry| entry.event == Event::Closing)
         .or(entries.last())
         .map(|entry| entry.at);
-    for (id, times) in notification_times(entries) {
+    let notified = notification_times(entries);
+    for (id, asked_at) in feeds_asked(entries) {
+        let first = notified.get(&id).and_then(|times| times.first()).copied();
+        let opening = first.or(end).map(|until| until - asked_at);
+        let is_late = opening.is_some_and(|opening| opening > OPENING_BOUND);
+        let violation = is_late.then(|| format!("{id:?} took {opening:?} to open"));
+        note(outcomes, Promise::FeedOpening, violation);
+    }
+    for (id, times) in notified {
         let gap = longest_gap(&times, end);
         let is_broken = gap > freshness;
         let violation = is_broken.then(|| format!("{id:?} was silent for {gap:?}"));
@@ -186,6 +201,22 @@
     }
 }
 
+/// Returns when each feed was first asked for, up to the end of the run.
+fn feeds_asked(entries: &[Entry]) -> BTreeMap<Id, Instant> {
+    let invoked = entries
+        .iter()
+        .take_while(|entry| entry.event != Event::Closing)
+        .filter_map(|entry| match entry.event {
+            Event::Invoked {
+                id,
+                work: Work::Feed,
+                ..
+            } => Some((id, entry.at)),
+            _ => None,
+        });
+    invoked.collect()
+}
+
 /// Returns the times of each feed's notifications, up to the end of the run.
 pub fn notification_times(entries: &[Entry]) -> BTreeMap<Id, Vec<Instant>> {
     let mut feeds: BTreeMap<Id, Vec<Instant>> = BTreeMap::new();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod capacity;
 pub mod checker;
+pub mod crest;
 pub mod demo;
 pub mod echo;
 pub mod fabric;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use ragwortbeam_testbed::{capacity, demo, faults, spread, throughput};
+use ragwortbeam_testbed::{capacity, crest, demo, faults, spread, throughput};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
 
@@ -28,6 +28,7 @@
     Capacity(Capacity),
     Throughput(Throughput),
     Spread(Spread),
+    Crest(Crest),
     Relay(Relay),
 }
 
@@ -70,6 +71,15 @@
     vms: usize,
 }
 
+/// Swing the demand from 1x to 6x and back, for each policy or for one.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "crest")]
+struct Crest {
+    /// policy that chooses endpoints
+    #[argh(option, default = "\"least_of_two\".to_owned()")]
+    policy: String,
+}
+
 /// Run a bare relay for the comparison.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "relay")]
@@ -93,6 +103,7 @@
         }
         Command::Throughput(_) => runtime.block_on(throughput::run()),
         Command::Spread(spread) => runtime.block_on(spread::run(spread.vms)),
+        Command::Crest(crest) => runtime.block_on(crest::run(&crest.policy)),
         Command::Relay(relay) => runtime.block_on(throughput::relay(relay.target)),
         Command::Faults(faults) => runtime.block_on(faults::run(&faults::Options {
             seeds: faults.seeds,
--- a/crates/testbed/tests/checker.rs
+++ b/crates/testbed/tests/checker.rs
@@ -110,6 +110,16 @@
     }
 }
 
+#[test]
+fn a_feed_that_does_not_open_while_its_caller_retransmits_is_found() {
+    let events = vec![(0, invoked(1, Work::Feed)), (45_001, Event::Closing)];
+    let outcomes = check(&history(events), FRESHNESS);
+    assert_eq!(outcomes[&Promise::FeedOpening].violations.len(), 1);
+    let events = vec![(0, invoked(1, Work::Feed)), (44_999, Event::Closing)];
+    let outcomes = check(&history(events), FRESHNESS);
+    assert!(outcomes[&Promise::FeedOpening].violations.is_empty());
+}
+
 #[test]
 fn each_broken_promise_is_found_and_no_other() {
     let wrong_service = Event::Executed {
