Queue requests in order of arrival

Cause: each waiting request woke by a timer of its own and took a slot out of turn, and then queued again at the head, so old requests were overtaken for seconds at the crest.

Change: a fair lock gives the turn; only the request whose turn it is waits for room.

--- a/crates/ragwortbeam/src/dispatch/pool.rs
+++ b/crates/ragwortbeam/src/dispatch/pool.rs
@@ -1,11 +1,12 @@
 //! Slots of a service's endpoints as one VM sees them, and the queue for them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use metrics::gauge;
-use tokio::sync::oneshot;
+use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
 use super::choice::{Candidate, Policy, policy};
@@ -59,6 +60,13 @@
 pub struct Pool {
     policy: Box<dyn Policy>,
     queue_limit: usize,
+    /// Held by the request whose turn it is; the lock is fair, so the others wait in
+    /// order of arrival.
+    turn: tokio::sync::Mutex<()>,
+    /// Wakes the request whose turn it is.
+    freed: Notify,
+    /// Requests that wait, the one whose turn it is included.
+    queued: AtomicUsize,
     /// Budget for retries of this service's requests.
     pub retries: Budget,
     inner: Mutex<Inner>,
@@ -67,8 +75,6 @@
 #[derive(Default)]
 struct Inner {
     loads: HashMap<id::Endpoint, Load>,
-    /// Requests that wait for room, oldest first.
-    waiting: VecDeque<oneshot::Sender<()>>,
     rate: Rate,
 }
 
@@ -131,12 +137,26 @@
     }
 }
 
+/// One request's place in the queue.
+struct Place<'a> {
+    pool: &'a Pool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.pool.queued.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl Pool {
     /// Returns a pool with no load.
     pub fn new(policy: Box<dyn Policy>, queue_limit: usize, retry_percent: u32) -> Self {
         Self {
             policy,
             queue_limit,
+            turn: tokio::sync::Mutex::default(),
+            freed: Notify::new(),
+            queued: AtomicUsize::new(0),
             retries: Budget::new(retry_percent),
             inner: Mutex::default(),
         }
@@ -154,22 +174,21 @@
         excluded: &[id::Endpoint],
         deadline: Instant,
     ) -> Result<Lease, Reason> {
-        let mut is_first_try = true;
+        let is_queue_empty = self.queued.load(Ordering::Acquire) == 0;
+        if is_queue_empty && let Some(lease) = self.take(service, data_centre, excluded)? {
+            return Ok(lease);
+        }
+        let _place = self.enqueue()?;
+        let turn = timeout_at(deadline.into(), self.turn.lock()).await;
+        let _turn = turn.map_err(|_| Reason::DeadlineQueued)?;
         loop {
-            let turn = {
-                let mut inner = self.inner.lock().unwrap();
-                let has_turn = !is_first_try || inner.waiting.is_empty();
-                if has_turn
-                    && let Some(lease) = self.take(&mut inner, service, data_centre, excluded)?
-                {
-                    return Ok(lease);
-                }
-                inner.enqueue(self.queue_limit, is_first_try)?
-            };
-            is_first_try = false;
-            // A window that reopens by time alone wakes nobody, so waits are short.
+            let freed = self.freed.notified();
+            if let Some(lease) = self.take(service, data_centre, excluded)? {
+                return Ok(lease);
+            }
+            // An endpoint that was left out for a time opens again without a sign.
             let wake = (Instant::now() + SHED_BACKOFF).min(deadline);
-            let _ = timeout_at(wake.into(), turn).await;
+            let _ = timeout_at(wake.into(), freed).await;
             if Instant::now() >= deadline {
                 return Err(Reason::DeadlineQueued);
             }
@@ -186,7 +205,7 @@
     /// Returns the whole seconds after which a refused caller may try again.
     pub fn retry_after_s(&self) -> u32 {
         let inner = self.inner.lock().unwrap();
-        let drain_s = inner.waiting.len() as f64 * inner.rate.interval_s;
+        let drain_s = self.queued.load(Ordering::Acquire) as f64 * inner.rate.interval_s;
         drain_s.ceil().clamp(1.0, 30.0) as u32
     }
 
@@ -201,12 +220,12 @@
 
     fn take(
         self: &Arc<Self>,
-        inner: &mut Inner,
         service: &Service,
         data_centre: &str,
         excluded: &[id::Endpoint],
     ) -> Result<Option<Lease>, Reason> {
         let now = Instant::now();
+        let mut inner = self.inner.lock().unwrap();
         let mut is_any_open = false;
         let mut candidates = Vec::new();
         let mut slots = Vec::new();
@@ -247,13 +266,24 @@
         }
     }
 
+    /// Takes a place in the queue until the returned value is dropped.
+    fn enqueue(&self) -> Result<Place<'_>, Reason> {
+        let place = Place { pool: self };
+        let before = self.queued.fetch_add(1, Ordering::AcqRel);
+        gauge!("ragwortbeam_queued_requests").set((before + 1) as f64);
+        if before >= self.queue_limit {
+            return Err(Reason::QueueFull);
+        }
+        Ok(place)
+    }
+
     fn free(&self, endpoint: id::Endpoint, slots: u32, end: Option<End>) {
         let mut inner = self.inner.lock().unwrap();
         inner.load(endpoint, slots).end(slots, end);
         if end == Some(End::Served) {
             inner.rate.note(Instant::now());
         }
-        inner.wake_next();
+        self.freed.notify_one();
     }
 }
 
@@ -266,34 +296,6 @@
             closed_until: None,
         })
     }
-
-    fn enqueue(
-        &mut self,
-        limit: usize,
-        is_first_try: bool,
-    ) -> Result<oneshot::Receiver<()>, Reason> {
-        self.waiting.retain(|sender| !sender.is_closed());
-        if is_first_try && self.waiting.len() >= limit {
-            return Err(Reason::QueueFull);
-        }
-        let (sender, receiver) = oneshot::channel();
-        if is_first_try {
-            self.waiting.push_back(sender);
-        } else {
-            // A request that had its turn keeps its place.
-            self.waiting.push_front(sender);
-        }
-        gauge!("ragwortbeam_queued_requests").set(self.waiting.len() as f64);
-        Ok(receiver)
-    }
-
-    fn wake_next(&mut self) {
-        while let Some(sender) = self.waiting.pop_front() {
-            if sender.send(()).is_ok() {
-                return;
-            }
-        }
-    }
 }
 
 impl Load {
