--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -22,6 +22,15 @@
 /// Time for which the network is cut.
 const SPLIT: Duration = Duration::from_secs(6);
 
+/// Requests queued for each service under overload.
+const OVERLOAD_QUEUE: usize = 4;
+
+/// Callers that post records under overload.
+const OVERLOAD_POSTERS: usize = 120;
+
+/// Mean pause of a caller under overload.
+const OVERLOAD_PAUSE: Duration = Duration::from_millis(20);
+
 type Action<'a> = Pin<Box<dyn Future<Output = std::io::Result<()>> + 'a>>;
 
 /// One kind of fault.
@@ -167,6 +176,9 @@
     /// Whether duplicates are frequent and late, which is what finds a request that
     /// runs twice.
     pub many_duplicates: bool,
+    /// Whether demand is far above the servers' slots and queues are short, so that many
+    /// requests are refused.
+    pub overload: bool,
 }
 
 /// Runs cases and prints the sum; returns whether every promise was kept.
@@ -177,7 +189,7 @@
             continue;
         }
         for seed in 1..=options.seeds {
-            let outcomes = run_case(case, seed, options.many_duplicates).await?;
+            let outcomes = run_case(case, seed, options).await?;
             for (promise, outcome) in &outcomes {
                 for violation in &outcome.violations {
                     println!(
@@ -195,8 +207,8 @@
 }
 
 /// Runs one case with one seed.
-pub async fn run_case(case: &Case, seed: u64, many_duplicates: bool) -> std::io::Result<Outcomes> {
-    let faults = if many_duplicates {
+pub async fn run_case(case: &Case, seed: u64, options: &Options) -> std::io::Result<Outcomes> {
+    let faults = if options.many_duplicates {
         Faults {
             duplication: 0.5,
             delay: 0.5,
@@ -206,12 +218,19 @@
     } else {
         Faults::default()
     };
-    let shape = Shape {
+    let mut shape = Shape {
         seed,
         faults,
         ..Shape::default()
     };
-    run_in(shape, Load::default(), case).await
+    let mut load = Load::default();
+    if options.overload {
+        shape.slots = 1;
+        shape.limits = serde_json::json!({"queue_per_service": OVERLOAD_QUEUE});
+        load.posters = OVERLOAD_POSTERS;
+        load.pause = OVERLOAD_PAUSE;
+    }
+    run_in(shape, load, case).await
 }
 
 /// Runs one case in a world of this shape, with the shape's seed.
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -50,6 +50,9 @@
     /// have the fabric duplicate and delay half of all packets
     #[argh(switch)]
     many_duplicates: bool,
+    /// have callers ask for far more than the servers can serve
+    #[argh(switch)]
+    overload: bool,
 }
 
 /// Measure the slopes that docs/CAPACITY.md uses.
@@ -109,6 +112,7 @@
             seeds: faults.seeds,
             case: faults.case,
             many_duplicates: faults.many_duplicates,
+            overload: faults.overload,
         })),
     };
     match outcome {
