Say not run only with all VMs in sight; move feeds ahead of the queue

Cause: in a split, a VM that had owned a flow all along refused a fetch as not run, while the other half, which had declared it dead, had served an earlier copy. In the same way a half could still dispatch a record between the first loss it noticed and the others, when it took itself for the majority (found by reading, not seen). The stand-in caller did not ask for a feed again after a refusal.

Change: a verdict counts as settled only when no listed VM is missing now or in a view of the last 60 s; for 3 s after the loss of a VM ranked highest for a flow its records stay without an answer; feeds that move take a slot at once; the stand-in asks again after Max-Age.

Refusals of idempotent requests say may have run more often after deaths, which is the price.

--- a/crates/ragwortbeam/src/dispatch/feed.rs
+++ b/crates/ragwortbeam/src/dispatch/feed.rs
@@ -28,6 +28,18 @@
 /// Width of the Observe value (RFC 7641, section 3.4).
 const SEQUENCE_MASK: u32 = 0x00ff_ffff;
 
+/// How a registration gets its slot.
+#[derive(Clone, Copy, Debug)]
+enum Admission {
+    /// In turn with other requests.
+    New,
+    /// At once, as the feed was admitted before and its caller waits for no answer.
+    Established {
+        /// Endpoint that the feed leaves.
+        avoided: Option<id::Endpoint>,
+    },
+}
+
 /// A registration that an endpoint has accepted or answered plainly.
 struct Registration {
     answer: Packet,
@@ -49,7 +61,8 @@
 ) -> Result<Packet, Refusal> {
     let token = Token::new(request.get_token());
     deregister(node, key, request);
-    let mut registration = register_anywhere(node, service, key, request, &[], deadline).await?;
+    let mut registration =
+        register_anywhere(node, service, key, request, Admission::New, deadline).await?;
     if coap::observe(&registration.answer).is_none() {
         return Ok(registration.answer);
     }
@@ -147,8 +160,8 @@
         return true;
     };
     let deadline = Instant::now() + REGISTER_TIMEOUT;
-    let excluded: Vec<id::Endpoint> = avoided.into_iter().collect();
-    let registered = register_anywhere(node, service, key, &request, &excluded, deadline).await;
+    let admission = Admission::Established { avoided };
+    let registered = register_anywhere(node, service, key, &request, admission, deadline).await;
     let registration = match registered {
         Ok(registration) if coap::observe(&registration.answer).is_some() => registration,
         _ => return false,
@@ -183,18 +196,25 @@
     service: &Service,
     key: Key,
     request: &Packet,
-    excluded: &[id::Endpoint],
+    admission: Admission,
     deadline: Instant,
 ) -> Result<Registration, Refusal> {
     let pool = node.pools.of(node, service.id);
-    let mut tried = excluded.to_vec();
+    let mut tried = Vec::new();
+    if let Admission::Established { avoided } = admission {
+        tried.extend(avoided);
+    }
+    let untried = tried.len();
     let mut refusal = Refusal::not_run(Reason::NoEndpoint);
     loop {
         let data_centre = &node.settings.data_centre;
-        let acquired = pool.acquire(service, data_centre, &tried, deadline).await;
+        let acquired = match admission {
+            Admission::New => pool.acquire(service, data_centre, &tried, deadline).await,
+            Admission::Established { .. } => pool.take_any(service, data_centre, &tried),
+        };
         let lease = match acquired {
             Ok(lease) => lease,
-            Err(_) if tried.len() > excluded.len() => return Err(refusal),
+            Err(_) if tried.len() > untried => return Err(refusal),
             Err(reason) => return Err(Refusal::not_run(reason)),
         };
         tried.push(lease.endpoint);
--- a/crates/ragwortbeam/src/dispatch/pool.rs
+++ b/crates/ragwortbeam/src/dispatch/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use metrics::gauge;
+use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
@@ -195,6 +196,26 @@
         }
     }
 
+    /// Takes a slot at any open endpoint, whatever its load, ahead of the queue. For work
+    /// that was admitted before and only moves.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::NoEndpoint`] when none is open.
+    pub fn take_any(
+        self: &Arc<Self>,
+        service: &Service,
+        data_centre: &str,
+        excluded: &[id::Endpoint],
+    ) -> Result<Lease, Reason> {
+        let open = service.open_endpoints(data_centre);
+        let open: Vec<_> = open
+            .filter(|endpoint| !excluded.contains(&endpoint.id))
+            .collect();
+        let chosen = open.choose(&mut rand::rng()).ok_or(Reason::NoEndpoint)?;
+        Ok(self.take_at(chosen.id, chosen.slots))
+    }
+
     /// Takes a slot at this endpoint, whatever its load.
     pub fn take_at(self: &Arc<Self>, endpoint: id::Endpoint, slots: u32) -> Lease {
         let mut inner = self.inner.lock().unwrap();
--- a/crates/ragwortbeam/src/dispatch/reserve.rs
+++ b/crates/ragwortbeam/src/dispatch/reserve.rs
@@ -45,13 +45,16 @@
     }
     let witnesses = node.members.witnesses(key.hash());
     let witnesses = witnesses.ok_or(Refusal::may_have_run(Reason::OwnerLost))?;
+    if node.members.is_loss_fresh(&witnesses.lost) {
+        return Ok(unsettled(node, key, message_id, Reason::OwnerLost));
+    }
     let reservation = Reservation {
         key: Some(key.to_message()),
         message_id: u32::from(message_id),
         holder: Some(node.members.process().to_message()),
     };
     let mut calls = JoinSet::new();
-    for witness in witnesses {
+    for witness in witnesses.vms {
         let node = node.clone();
         let reservation = reservation.clone();
         calls.spawn(async move { node.peers.links.reserve(witness, reservation).await });
--- a/crates/ragwortbeam/src/membership/mod.rs
+++ b/crates/ragwortbeam/src/membership/mod.rs
@@ -7,6 +7,6 @@
 mod view;
 
 pub use probe::{greet, join, ping, run};
-pub use recent::Recent;
+pub use recent::{Recent, Witnesses};
 pub use table::Table;
 pub use view::{Member, View};
--- a/crates/ragwortbeam/src/membership/recent.rs
+++ b/crates/ragwortbeam/src/membership/recent.rs
@@ -13,6 +13,24 @@
 /// Most views kept.
 const MAX_KEPT: usize = 64;
 
+/// VMs that may know of a flow's exchanges.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub struct Witnesses {
+    /// VMs to ask, each once.
+    pub vms: Vec<id::Vm>,
+    /// VMs that would be asked but are lost.
+    pub lost: Vec<id::Vm>,
+}
+
+impl Witnesses {
+    /// Adds a VM to ask.
+    pub fn add(&mut self, vm: id::Vm) {
+        if !self.vms.contains(&vm) {
+            self.vms.push(vm);
+        }
+    }
+}
+
 /// Replaced views, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct Recent {
@@ -54,8 +72,8 @@
     ///
     /// `None` when both VMs of one view are lost and neither has handed over what it
     /// knew: what they dispatched under that view nobody knows any more.
-    pub fn witnesses(&self, view: &View, flow_hash: u64, now_ms: u64) -> Option<Vec<id::Vm>> {
-        let mut witnesses = Vec::new();
+    pub fn witnesses(&self, view: &View, flow_hash: u64, now_ms: u64) -> Option<Witnesses> {
+        let mut witnesses = Witnesses::default();
         for earlier in self.kept(now_ms) {
             let Some(rank) = earlier.rank(flow_hash) else {
                 continue;
@@ -67,9 +85,9 @@
                     is_known = true;
                 } else if view.still_runs(vm, earlier) {
                     is_known = true;
-                    if !witnesses.contains(&vm) {
-                        witnesses.push(vm);
-                    }
+                    witnesses.add(vm);
+                } else {
+                    witnesses.lost.push(vm);
                 }
             }
             if !is_known {
@@ -79,11 +97,13 @@
         Some(witnesses)
     }
 
-    /// Returns whether no view kept names another owner than `vm` for a flow.
+    /// Returns whether no view kept names another owner than `vm` for a flow, or lacks a
+    /// VM that may have named another.
     pub fn is_sole_owner(&self, vm: id::Vm, flow_hash: u64, now_ms: u64) -> bool {
-        self.kept(now_ms)
-            .filter_map(|view| view.rank(flow_hash))
-            .all(|rank| rank.first == vm)
+        self.kept(now_ms).all(|view| {
+            let rank = view.rank(flow_hash);
+            view.is_whole() && rank.is_none_or(|rank| rank.first == vm)
+        })
     }
 
     fn has_left(&self, vm: id::Vm, earlier: &View) -> bool {
--- a/crates/ragwortbeam/src/membership/table.rs
+++ b/crates/ragwortbeam/src/membership/table.rs
@@ -8,7 +8,7 @@
 use spdlog::{info, warn};
 use tokio::sync::watch;
 
-use super::recent::Recent;
+use super::recent::{Recent, Witnesses};
 use super::rumours::Rumours;
 use super::view::{Member, View};
 use crate::clock;
@@ -19,6 +19,10 @@
 /// Time for a suspect to refute before it counts as dead, milliseconds.
 pub const SUSPECT_TIMEOUT_MS: u64 = 1200;
 
+/// Time after the loss of one VM by which the others lost with it are missed too,
+/// milliseconds: a round of probes, the suspicion and the spread of the news.
+const LOSS_SETTLES_MS: u64 = 3000;
+
 /// Members, joined from the platform's list and from rumours.
 #[derive(Debug)]
 pub struct Table {
@@ -36,6 +40,8 @@
     members: HashMap<id::Vm, Arc<Member>>,
     /// When each suspect became one, monotonic milliseconds.
     suspected_at: HashMap<id::Vm, u64>,
+    /// When each VM was last declared dead, monotonic milliseconds.
+    lost_at: HashMap<id::Vm, u64>,
     rumours: Rumours,
     recent: Recent,
     my_revision: u32,
@@ -90,26 +96,34 @@
     /// replica, and whoever was ranked highest in a recent view and still runs.
     ///
     /// `None` when an earlier owner and its replica are both lost.
-    pub fn witnesses(&self, flow_hash: u64) -> Option<Vec<id::Vm>> {
+    pub fn witnesses(&self, flow_hash: u64) -> Option<Witnesses> {
         let view = self.view();
         let inner = self.inner.lock().unwrap();
         let now_ms = clock::monotonic_ms();
         let mut witnesses = inner.recent.witnesses(&view, flow_hash, now_ms)?;
-        if let Some(replica) = view.replica(flow_hash)
-            && !witnesses.contains(&replica)
-        {
-            witnesses.push(replica);
+        if let Some(replica) = view.replica(flow_hash) {
+            witnesses.add(replica);
         }
         Some(witnesses)
     }
 
+    /// Returns whether one of these VMs was lost so recently that others may not have
+    /// been missed yet, as when the network is cut.
+    pub fn is_loss_fresh(&self, vms: &[id::Vm]) -> bool {
+        let inner = self.inner.lock().unwrap();
+        let now_ms = clock::monotonic_ms();
+        vms.iter()
+            .filter_map(|vm| inner.lost_at.get(vm))
+            .any(|at_ms| now_ms.saturating_sub(*at_ms) < LOSS_SETTLES_MS)
+    }
+
     /// Returns whether this VM has been the owner of a flow for so long that no other
     /// can have served a request that the caller still retransmits.
     pub fn is_settled_owner(&self, flow_hash: u64) -> bool {
         let is_owner = self.view().owner(flow_hash) == self.me;
         let inner = self.inner.lock().unwrap();
         let now_ms = clock::monotonic_ms();
-        is_owner && inner.recent.is_sole_owner(self.me, flow_hash, now_ms)
+        is_owner && self.view().is_whole() && inner.recent.is_sole_owner(self.me, flow_hash, now_ms)
     }
 
     /// Returns whether this VM sees a majority of its data centre's listed VMs alive.
@@ -341,6 +355,7 @@
             });
         }
         if rumour.health() == Health::Dead {
+            inner.lost_at.insert(vm, clock::monotonic_ms());
             counter!("ragwortbeam_vms_declared_dead_total").increment(1);
         }
         inner.rumours.push(*rumour);
--- a/crates/ragwortbeam/src/membership/view.rs
+++ b/crates/ragwortbeam/src/membership/view.rs
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Returns whether every listed VM of the data centre owns flows or leaves as planned.
+    pub fn is_whole(&self) -> bool {
+        let mut neighbours = self
+            .members
+            .values()
+            .filter(|member| member.data_centre == self.data_centre);
+        !neighbours.any(|member| member.is_missing())
+    }
+
     /// Returns whether the owners are a majority of the VMs that would own flows if all
     /// were alive; of two equal halves the one with the lowest id is.
     pub fn has_majority(&self) -> bool {
--- a/crates/ragwortbeam/tests/membership.rs
+++ b/crates/ragwortbeam/tests/membership.rs
@@ -215,14 +215,37 @@
     let hash = (0..1000)
         .find(|hash| table.view().owner(*hash) == id::Vm::of("me"))
         .unwrap();
-    assert_eq!(table.witnesses(hash).unwrap().len(), 2);
+    assert_eq!(table.witnesses(hash).unwrap().vms.len(), 2);
     table.hear(&[rumour("a", 0, Health::Dead)], 0);
-    assert_eq!(table.witnesses(hash), Some(vec![id::Vm::of("b")]));
+    let witnesses = table.witnesses(hash).unwrap();
+    assert_eq!(witnesses.vms, [id::Vm::of("b")]);
+    assert!(witnesses.lost.contains(&id::Vm::of("a")));
+    assert!(table.is_loss_fresh(&witnesses.lost));
+    assert!(!table.is_loss_fresh(&witnesses.vms));
     assert!(!table.is_settled_owner(hash));
     table.hear(&[rumour("b", 0, Health::Dead)], 0);
     assert_eq!(table.witnesses(hash), None);
 }
 
+#[test]
+fn a_verdict_is_not_settled_while_a_vm_is_missing_or_was_lately() {
+    let table = Table::new("me", DATA_CENTRE, 9);
+    table.take_list(&list(1, &["me", "a"]));
+    table.join();
+    table.hear(&[rumour("a", 0, Health::Alive)], 0);
+    let hash = (0..1000)
+        .find(|hash| table.view().owner(*hash) == id::Vm::of("me"))
+        .unwrap();
+    assert!(!table.is_settled_owner(hash), "a was missing a moment ago");
+
+    let table = Table::new("me", DATA_CENTRE, 9);
+    table.take_list(&list(1, &["me"]));
+    table.join();
+    assert!(table.is_settled_owner(hash));
+    table.take_list(&list(2, &["me", "a"]));
+    assert!(!table.is_settled_owner(hash), "a may serve elsewhere");
+}
+
 #[test]
 fn an_older_list_changes_nothing() {
     let table = Table::new("me", DATA_CENTRE, 9);
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use crate::fabric::Fabric;
 use crate::history::{Event, History, Id, Work};
@@ -29,6 +29,9 @@
 /// (RFC 7959, section 2.4).
 const MAX_RESTARTS: usize = 3;
 
+/// Longest wait before a refused feed is asked for again, seconds.
+const MAX_WAIT_S: u64 = 2;
+
 /// A service as callers reach it.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
@@ -119,17 +122,19 @@
             .lock()
             .unwrap()
             .insert(token.clone(), sender.clone());
-        if self
-            .transmit(&request, &mut answers)
-            .await
-            .is_none_or(|first| {
-                let is_feed = first.get_observe_value().is_some();
+        loop {
+            let Some(first) = self.transmit(&request, &mut answers).await else {
+                return self.conclude(id, None, true);
+            };
+            if first.get_observe_value().is_some() {
                 // The first answer counts like the ones that follow.
                 let _ = sender.send(first);
-                !is_feed
-            })
-        {
-            return self.conclude(id, None, true);
+                break;
+            }
+            // Refused: asked again after the time that the refusal names.
+            let wait_s = coap::max_age_s(&first).min(MAX_WAIT_S);
+            sleep(Duration::from_secs(wait_s)).await;
+            request.header.message_id = self.next_message_id.fetch_add(1, Ordering::Relaxed);
         }
         let mut last = None;
         while let Some(packet) = answers.recv().await {
