--- a/crates/ragwortbeam/src/backend/link.rs
+++ b/crates/ragwortbeam/src/backend/link.rs
@@ -135,7 +135,7 @@
 
     /// Ends an observation: the next notification is answered with a reset, which a
     /// server takes for a deregistration (RFC 7641, section 3.6).
-    pub async fn deregister(&self, token: u64) {
+    pub fn deregister(&self, token: u64) {
         self.feeds.lock().unwrap().remove(&token);
     }
 
--- a/crates/ragwortbeam/src/dispatch/feed.rs
+++ b/crates/ragwortbeam/src/dispatch/feed.rs
@@ -108,14 +108,14 @@
     }
 }
 
-/// Ends a registration at an endpoint, without waiting for it.
+/// Ends a registration at an endpoint; the endpoint learns it with its next notification.
 pub fn end_leg(node: &Arc<Node>, service: id::Service, endpoint: id::Endpoint, leg: u64) {
     let state = node.releases.state();
     let Some(service) = state.service(service) else {
         return;
     };
     if let Some(link) = node.links.of(node, service, endpoint) {
-        tokio::spawn(async move { link.deregister(leg).await });
+        link.deregister(leg);
     }
 }
 
--- a/crates/ragwortbeam/src/platform/watch.rs
+++ b/crates/ragwortbeam/src/platform/watch.rs
@@ -41,12 +41,11 @@
     tokio::join!(watch_releases(&node), watch_list(&node), fall_back(&node));
 }
 
-/// Reads snapshot and VM list once, from the platform or else from any VM listed in
-/// the answer of a peer.
+/// Reads VM list and snapshot once from the platform.
 ///
 /// # Errors
 ///
-/// The platform's error when neither answers.
+/// The platform's error; the list may have been taken before it.
 pub async fn read_all(node: &Arc<Node>) -> Result<()> {
     read_list(node).await?;
     read_snapshot(node).await
