Remove a trial log line, a doubled loop and dead code; keep derives apart

Cause: reading the whole change once more. The loop that sends copies in calls stood in two files, an accessor had lost its caller, times of losses were never dropped, and the formatter had merged standard and foreign derives.

Conclusion: behaviour as before but for the log.

--- a/crates/ragwortbeam/src/admin/report.rs
+++ b/crates/ragwortbeam/src/admin/report.rs
@@ -8,7 +8,8 @@
 use crate::refusal::Reason;
 
 /// Status of one VM.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Name.
     pub vm: String,
@@ -41,7 +42,8 @@
 }
 
 /// Another VM's health.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Health {
     /// Name.
     pub name: String,
--- a/crates/ragwortbeam/src/commands.rs
+++ b/crates/ragwortbeam/src/commands.rs
@@ -19,7 +19,8 @@
 pub const EXIT_CUT_OFF: u8 = 3;
 
 /// Layer-4 load balancer for small fleets of entry VMs.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub struct Arguments {
     /// print the version and exit
     #[argh(switch)]
@@ -28,7 +29,8 @@
     command: Option<Command>,
 }
 
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
     Serve(Serve),
@@ -37,7 +39,8 @@
 }
 
 /// Run one VM's process until SIGTERM or SIGINT.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
     /// settings file
@@ -46,7 +49,8 @@
 }
 
 /// Check a settings file, or a release note against a snapshot.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 struct Check {
     /// settings file
@@ -61,7 +65,8 @@
 }
 
 /// Print the status of VMs.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 struct Status {
     /// admin addresses, IP:port
--- a/crates/ragwortbeam/src/dispatch/requests.rs
+++ b/crates/ragwortbeam/src/dispatch/requests.rs
@@ -98,18 +98,7 @@
     let deadline = begun + allowed(node, &request);
     let mut permit = None;
     if !is_idempotent {
-        let r = reserve::reserve(node, key, id).await;
-        let q = request
-            .get_option(coap_lite::CoapOption::UriQuery)
-            .and_then(|l| l.front().cloned())
-            .unwrap_or_default();
-        spdlog::info!(
-            "event=trial_reserve query={} key={} mid={id} rank={:?} {r:?}",
-            String::from_utf8_lossy(&q).trim_start_matches("id="),
-            key.caller,
-            node.members.view().rank(key.hash())
-        );
-        match r {
+        match reserve::reserve(node, key, id).await {
             Ok(Outcome::Granted(until)) => permit = Some(Permit::new(key, id, until)),
             Ok(Outcome::Answered(answer)) => {
                 return finish(node, key, id, false, answer);
--- a/crates/ragwortbeam/src/errors.rs
+++ b/crates/ragwortbeam/src/errors.rs
@@ -11,7 +11,8 @@
 /// What can go wrong outside of serving a request.
 ///
 /// Failures of requests are [`crate::refusal::Refusal`], which carry a verdict.
-#[derive(Debug, Display, Error)]
+#[derive(Debug)]
+#[derive(Display, Error)]
 pub enum Error {
     /// The settings file is wrong; the operator has to change it.
     #[display("{_0}")]
--- a/crates/ragwortbeam/src/flow/handover.rs
+++ b/crates/ragwortbeam/src/flow/handover.rs
@@ -115,13 +115,7 @@
             batches.entry(vm).or_default().push(record.clone());
         }
     }
-    let mut is_complete = true;
-    for (vm, records) in batches {
-        for records in records.chunks(RECORDS_PER_CALL) {
-            is_complete &= replication::send(node, vm, records.to_vec()).await;
-        }
-    }
-    is_complete
+    replication::send_all(node, batches).await
 }
 
 /// Hands all records over before this VM stops; returns how many are left.
--- a/crates/ragwortbeam/src/flow/replication.rs
+++ b/crates/ragwortbeam/src/flow/replication.rs
@@ -77,15 +77,24 @@
             .unwrap_or_else(|| removed(key));
         batches.entry(replica).or_default().push(record);
     }
-    for (replica, records) in batches {
+    // The next change of a record, or of the view, copies it again.
+    send_all(node, batches).await;
+}
+
+/// Sends copies to several VMs in calls of limited size; returns whether all have taken
+/// theirs.
+pub async fn send_all(node: &Arc<Node>, batches: HashMap<id::Vm, Vec<FlowRecord>>) -> bool {
+    let mut is_complete = true;
+    for (vm, records) in batches {
         for records in records.chunks(RECORDS_PER_CALL) {
-            send(node, replica, records.to_vec()).await;
+            is_complete &= send(node, vm, records.to_vec()).await;
         }
     }
+    is_complete
 }
 
 /// Sends copies to a VM; returns whether it has taken them.
-pub async fn send(node: &Arc<Node>, replica: id::Vm, records: Vec<FlowRecord>) -> bool {
+async fn send(node: &Arc<Node>, replica: id::Vm, records: Vec<FlowRecord>) -> bool {
     let records = Records {
         sender: node.members.view().me.0,
         records,
--- a/crates/ragwortbeam/src/id.rs
+++ b/crates/ragwortbeam/src/id.rs
@@ -6,7 +6,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Names a VM; the hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Display)]
 #[display("{_0:016x}")]
 pub struct Vm(pub u64);
 
@@ -29,7 +30,8 @@
 /// Names a service; the hash of its name.
 ///
 /// A release that would give two services one id is rejected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Display)]
 #[display("{_0:016x}")]
 pub struct Service(pub u64);
 
@@ -43,7 +45,8 @@
 /// Names an endpoint of one service; the hash of its address, seeded with the service.
 ///
 /// The same address behind two services has two ids.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Display)]
 #[display("{_0:016x}")]
 pub struct Endpoint(pub u64);
 
--- a/crates/ragwortbeam/src/membership/table.rs
+++ b/crates/ragwortbeam/src/membership/table.rs
@@ -355,7 +355,11 @@
             });
         }
         if rumour.health() == Health::Dead {
-            inner.lost_at.insert(vm, clock::monotonic_ms());
+            let now_ms = clock::monotonic_ms();
+            inner
+                .lost_at
+                .retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < LOSS_SETTLES_MS);
+            inner.lost_at.insert(vm, now_ms);
             counter!("ragwortbeam_vms_declared_dead_total").increment(1);
         }
         inner.rumours.push(*rumour);
--- a/crates/ragwortbeam/src/refusal.rs
+++ b/crates/ragwortbeam/src/refusal.rs
@@ -10,9 +10,8 @@
 use crate::verdict::Verdict;
 
 /// Why a packet, frame or request was refused.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
     /// Caller datagram shorter than a CoAP header.
@@ -103,7 +102,8 @@
 }
 
 /// Refusal of a request, with what is known about its execution.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display)]
 #[display("reason={reason} verdict={verdict}")]
 pub struct Refusal {
     /// Why.
--- a/crates/ragwortbeam/src/release/mod.rs
+++ b/crates/ragwortbeam/src/release/mod.rs
@@ -10,7 +10,8 @@
 use derive_more::Display;
 
 /// What is wrong with a release note or snapshot.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 #[display("release {number}: {field}: expected {expected}, found {found}")]
 pub struct Fault {
     /// Number of the note or snapshot.
--- a/crates/ragwortbeam/src/release/state.rs
+++ b/crates/ragwortbeam/src/release/state.rs
@@ -10,7 +10,8 @@
 use crate::id;
 
 /// How the packets of a service are treated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Display)]
 pub enum Kind {
     /// CoAP requests, balanced one by one.
     #[display("requests")]
--- a/crates/ragwortbeam/src/settings/mod.rs
+++ b/crates/ragwortbeam/src/settings/mod.rs
@@ -14,7 +14,8 @@
 pub use check::decode;
 
 /// What is wrong with a settings file.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 #[display("{file}: {field}: expected {expected}, found {found}")]
 pub struct Fault {
     /// Path of the file.
--- a/crates/ragwortbeam/src/verdict.rs
+++ b/crates/ragwortbeam/src/verdict.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What is known about the execution of a request at a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// No backend server has run it or will run it.
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -386,11 +386,6 @@
         std::fs::read_to_string(path).unwrap_or_default()
     }
 
-    /// Returns the numbers of all VMs ever started.
-    pub fn started_vms(&self) -> std::ops::Range<usize> {
-        0..self.next_vm
-    }
-
     async fn start_vm(&mut self) -> std::io::Result<usize> {
         let index = self.next_vm;
         self.next_vm += 1;
