Steer packets of flows on the users' platform: crates, adapter, deploy file

Cause: the users' machines speak a protocol of their own, in which endpoints answer callers directly; the product had no service kind for it.

Change: crates/base (time, logs, metrics, HTTP client), crates/steering (catalog, tokens, choice, resets, mesh, reader), platform/ (packets and store items), the steer command and deploy/.

--- a/crates/ragwortbeam/src/admin/mod.rs
+++ b/crates/ragwortbeam/src/admin/mod.rs
@@ -4,4 +4,4 @@
 mod server;
 
 pub use report::{Health, Report};
-pub use server::{install_metrics, serve};
+pub use server::serve;
--- a/crates/ragwortbeam/src/admin/server.rs
+++ b/crates/ragwortbeam/src/admin/server.rs
@@ -4,31 +4,17 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use ragwortbeam_base::telemetry;
 use spdlog::warn;
-use std::sync::OnceLock;
 use tokio::net::TcpListener;
 
 use super::Report;
 use crate::prelude::*;
 
-static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
-
-/// Installs the process-wide metrics recorder; further calls do nothing.
-pub fn install_metrics() {
-    METRICS.get_or_init(|| {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // Another recorder may be installed by a test; its metrics stay its own.
-        let _ = metrics::set_global_recorder(recorder);
-        handle
-    });
-}
-
 /// Serves on a bound listener for the life of the node.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     let router = Router::new()
-        .route("/metrics", get(metrics_text))
+        .route("/metrics", get(|| async { telemetry::render() }))
         .route("/status", get(status))
         .route("/ready", get(ready))
         .route("/live", get(|| async { "live" }))
@@ -38,12 +24,6 @@
     }
 }
 
-async fn metrics_text() -> String {
-    METRICS
-        .get()
-        .map_or_else(String::new, PrometheusHandle::render)
-}
-
 async fn status(State(node): State<Arc<Node>>) -> Json<Report> {
     Json(Report::of(&node))
 }
--- a/crates/ragwortbeam/src/commands.rs
+++ b/crates/ragwortbeam/src/commands.rs
@@ -3,6 +3,7 @@
 mod check;
 mod serve;
 mod status;
+mod steer;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,6 +35,7 @@
 #[argh(subcommand)]
 enum Command {
     Serve(Serve),
+    Steer(Steer),
     Check(Check),
     Status(Status),
 }
@@ -48,6 +50,16 @@
     settings: PathBuf,
 }
 
+/// Run one VM's process on the users' platform until SIGTERM or SIGINT.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "steer")]
+struct Steer {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
 /// Check a settings file, or a release note against a snapshot.
 #[derive(Debug)]
 #[derive(FromArgs)]
@@ -85,10 +97,11 @@
     }
     let code = match arguments.command {
         Some(Command::Serve(command)) => serve::run(&command.settings),
+        Some(Command::Steer(command)) => steer::run(&command.settings),
         Some(Command::Check(command)) => check::run(&command),
         Some(Command::Status(command)) => status::run(&command),
         None => {
-            eprintln!("expected a command: serve, check or status; see --help");
+            eprintln!("expected a command: serve, steer, check or status; see --help");
             EXIT_WRONG
         }
     };
--- a/crates/ragwortbeam/src/commands/serve.rs
+++ b/crates/ragwortbeam/src/commands/serve.rs
@@ -8,17 +8,18 @@
 
 use super::{EXIT_CUT_OFF, EXIT_FAILED, EXIT_OK, EXIT_WRONG};
 use crate::prelude::*;
-use crate::{admin, logging, settings};
+use crate::{logging, settings};
+use ragwortbeam_base::telemetry;
 
 /// Runs a node until it is told to stop; returns the exit code.
 pub fn run(path: &Path) -> u8 {
     logging::install();
-    admin::install_metrics();
+    telemetry::install();
     let result = settings::load(path).and_then(|settings| {
         let runtime = Runtime::new().map_err(|source| Error::io("runtime", source))?;
         runtime.block_on(serve(settings))
     });
-    match result {
+    let code = match result {
         Ok(true) => EXIT_OK,
         Ok(false) => EXIT_CUT_OFF,
         Err(error) => {
@@ -28,7 +29,9 @@
                 _ => EXIT_FAILED,
             }
         }
-    }
+    };
+    logging::flush();
+    code
 }
 
 /// Returns whether the stop was complete.
--- /dev/null
+++ b/crates/ragwortbeam/src/commands/steer.rs
@@ -0,0 +1,44 @@
+//! `ragwortbeam steer`.
+
+use std::path::Path;
+
+use ragwortbeam_base::{logging, telemetry};
+use ragwortbeam_platform::{Packets, Store};
+use ragwortbeam_steering::errors::{Error, Result};
+use ragwortbeam_steering::node::{self, Adapter};
+use ragwortbeam_steering::settings;
+use spdlog::error;
+use tokio::runtime::Builder;
+
+use super::{EXIT_FAILED, EXIT_OK, EXIT_WRONG};
+
+/// Runs a steering VM until it is told to stop; returns the exit code.
+pub fn run(path: &Path) -> u8 {
+    logging::install();
+    telemetry::install();
+    let code = match start(path) {
+        Ok(()) => EXIT_OK,
+        Err(error) => {
+            error!("event=failed error=\"{error}\"");
+            match error {
+                Error::Settings(_) => EXIT_WRONG,
+                _ => EXIT_FAILED,
+            }
+        }
+    };
+    logging::flush();
+    code
+}
+
+fn start(path: &Path) -> Result<()> {
+    let settings = settings::load(path)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::io("runtime", source))?;
+    let adapter = Adapter {
+        codec: Box::new(Packets),
+        publisher: Box::new(Store::new(settings.platform_address)),
+    };
+    runtime.block_on(node::run(path.to_owned(), settings, adapter))
+}
--- a/crates/ragwortbeam/src/lib.rs
+++ b/crates/ragwortbeam/src/lib.rs
@@ -5,14 +5,12 @@
 
 pub mod admin;
 pub mod backend;
-pub mod clock;
 pub mod commands;
 pub mod dispatch;
 pub mod entry;
 pub mod errors;
 pub mod flow;
 pub mod id;
-pub mod logging;
 pub mod membership;
 pub mod node;
 pub mod peer;
@@ -24,6 +22,8 @@
 pub mod verdict;
 pub mod wire;
 
+pub use ragwortbeam_base::{clock, logging};
+
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 mod generated;
 
--- /dev/null
+++ b/crates/steering/src/catalog/exchange.rs
@@ -0,0 +1,166 @@
+//! Catalogs as VMs pass them on.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use ragwortbeam_base::clock::Moment;
+
+use super::{Catalog, Configuration, Endpoint, Entry, Merge, Removal, Route, Target, Traffic, tag};
+use crate::message;
+
+/// Returns milliseconds for a message, at most what its field holds.
+pub fn ms(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl Catalog {
+    /// Returns everything that changed after `revision`.
+    pub fn changed_after(&self, revision: u64, now: Moment) -> message::Catalog {
+        let configuration = self.configuration();
+        message::Catalog {
+            configuration: (configuration.revision > revision)
+                .then(|| configuration_message(configuration)),
+            endpoints: self
+                .endpoints()
+                .filter(|(_, endpoint)| endpoint.revision > revision)
+                .map(|(_, endpoint)| endpoint_message(endpoint, now))
+                .collect(),
+        }
+    }
+
+    /// Returns the revision and age of this catalog.
+    pub fn view(&self, now: Moment) -> message::View {
+        message::View {
+            revision: self.revision(),
+            age_ms: ms(self.age(now)),
+        }
+    }
+
+    /// Merges what another VM sent; entries that cannot be read are left out.
+    pub fn merge(&mut self, catalog: &message::Catalog, now: Moment) -> Merge {
+        let mut merge = Merge::default();
+        if let Some(configuration) = &catalog.configuration {
+            merge.configuration = self.take_configuration(read_configuration(configuration));
+        }
+        // Earlier starts of an endpoint come before later ones.
+        let mut endpoints: Vec<Endpoint> = catalog
+            .endpoints
+            .iter()
+            .map(|endpoint| read_endpoint(endpoint, now))
+            .collect();
+        endpoints.sort_by_key(|endpoint| endpoint.revision);
+        for endpoint in endpoints {
+            merge.endpoints += usize::from(self.take_endpoint(endpoint, now));
+        }
+        merge
+    }
+}
+
+fn configuration_message(configuration: &Configuration) -> message::Configuration {
+    message::Configuration {
+        revision: configuration.revision,
+        version: configuration.version,
+        flow_idle_ms: ms(configuration.flow_idle),
+        routes: configuration.routes.values().map(route_message).collect(),
+    }
+}
+
+fn route_message(route: &Route) -> message::Route {
+    let traffic = match route.traffic {
+        Traffic::Idempotent => message::Traffic::Idempotent,
+        Traffic::NonIdempotent => message::Traffic::NonIdempotent,
+        Traffic::Bulk => message::Traffic::Bulk,
+    };
+    let targets = route.targets.iter().map(|target| message::Target {
+        service: target.service.to_string(),
+        weight: target.weight,
+    });
+    message::Route {
+        ip: (*route.address.ip()).into(),
+        port: route.address.port().into(),
+        name: route.name.clone(),
+        traffic: traffic.into(),
+        targets: targets.collect(),
+    }
+}
+
+fn endpoint_message(endpoint: &Endpoint, now: Moment) -> message::Endpoint {
+    let entry = &endpoint.entry;
+    message::Endpoint {
+        id: endpoint.id,
+        born_ms: entry.born_ms,
+        revision: endpoint.revision,
+        service: entry.service.to_string(),
+        ip: (*entry.address.ip()).into(),
+        port: entry.address.port().into(),
+        data_centre: entry.data_centre.to_string(),
+        slots: entry.slots,
+        is_draining: entry.is_draining,
+        warmup_left_ms: ms(endpoint.warm_at.since(now)),
+        removal: endpoint.removal.map(|removal| message::Removal {
+            age_ms: ms(now.since(removal.at)),
+            hold_ms: ms(removal.hold),
+        }),
+    }
+}
+
+fn read_configuration(message: &message::Configuration) -> Configuration {
+    let routes = message.routes.iter().filter_map(read_route);
+    Configuration {
+        revision: message.revision,
+        version: message.version,
+        flow_idle: Duration::from_millis(message.flow_idle_ms.into()),
+        routes: routes.map(|route| (route.address, route)).collect(),
+    }
+}
+
+fn read_route(message: &message::Route) -> Option<Route> {
+    let targets: Vec<Target> = message
+        .targets
+        .iter()
+        .map(|target| Target {
+            service: target.service.as_str().into(),
+            weight: target.weight,
+        })
+        .collect();
+    if targets.is_empty() {
+        return None;
+    }
+    Some(Route {
+        name: message.name.clone(),
+        address: address(message.ip, message.port),
+        traffic: match message.traffic() {
+            message::Traffic::Idempotent => Traffic::Idempotent,
+            message::Traffic::NonIdempotent => Traffic::NonIdempotent,
+            message::Traffic::Bulk => Traffic::Bulk,
+        },
+        targets,
+    })
+}
+
+fn read_endpoint(message: &message::Endpoint, now: Moment) -> Endpoint {
+    let warmup_left = Duration::from_millis(message.warmup_left_ms.into());
+    Endpoint {
+        id: message.id,
+        entry: Entry {
+            service: message.service.as_str().into(),
+            address: address(message.ip, message.port),
+            data_centre: message.data_centre.as_str().into(),
+            slots: message.slots.max(1),
+            is_draining: message.is_draining,
+            warmup_left,
+            born_ms: message.born_ms,
+        },
+        revision: message.revision,
+        tag: tag(message.id, message.born_ms),
+        warm_at: now + warmup_left,
+        removal: message.removal.map(|removal| Removal {
+            at: now.before(Duration::from_millis(removal.age_ms.into())),
+            hold: Duration::from_millis(removal.hold_ms.into()),
+        }),
+    }
+}
+
+fn address(ip: u32, port: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(ip.into(), port as u16)
+}
--- /dev/null
+++ b/crates/steering/src/catalog/mod.rs
@@ -0,0 +1,12 @@
+//! Routes and endpoints as this VM knows them, and how current that knowledge is.
+
+mod configuration;
+mod endpoint;
+mod exchange;
+mod store;
+mod token;
+
+pub use configuration::{Configuration, Route, Target, Traffic};
+pub use endpoint::{Change, Endpoint, Entry, Item, Key, Removal};
+pub use store::{Catalog, Merge};
+pub use token::{address_mask, tag};
--- /dev/null
+++ b/crates/steering/src/lib.rs
@@ -0,0 +1,26 @@
+//! Steers packets of flows to endpoints that answer their callers directly.
+//!
+//! Each VM steers any packet of an open flow with no record of it: the packet carries a
+//! token that names the endpoint. See `docs/PLATFORM.md`.
+
+pub mod catalog;
+pub mod choice;
+pub mod errors;
+pub mod flow;
+pub mod load;
+pub mod mesh;
+pub mod node;
+pub mod operators;
+pub mod packet;
+pub mod prelude;
+pub mod publisher;
+pub mod reader;
+pub mod reset;
+pub mod settings;
+pub mod steer;
+
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+mod generated;
+
+/// Messages between VMs, generated from `schema/steering.proto`.
+pub use generated::ragwortbeam::steering::v1 as message;
--- /dev/null
+++ b/crates/steering/src/load.rs
@@ -0,0 +1,256 @@
+//! Load and signs of life of endpoints, as this VM and the others see them.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+use slotmap::SecondaryMap;
+
+use crate::catalog::Key;
+use crate::message;
+use crate::prelude::*;
+
+/// Unanswered opening packets after which an endpoint counts as silent: one may be lost
+/// on the way.
+const SILENT_AFTER: u32 = 2;
+
+/// Sign of life from any VM within which others' unanswered packets do not count.
+const ALIVE_WINDOW: Duration = Duration::from_millis(250);
+
+/// Pause before a silent endpoint is tried with another flow; doubles with each try.
+const FIRST_RETRY: Duration = Duration::from_secs(1);
+
+/// Longest pause between two tries of a silent endpoint.
+const MAX_RETRY: Duration = Duration::from_secs(8);
+
+/// Age of others' reports above which they are ignored: several report intervals.
+const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+
+/// Age above which a report from a hub that knows more VMs is replaced by any other.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time of the last sign of life that is reported at most.
+const MAX_SILENCE: Duration = Duration::from_secs(60);
+
+/// Load that this VM causes at one endpoint, and what it has seen of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Own {
+    /// Flows that are open.
+    pub open: u32,
+    /// Requests that wait for an answer.
+    pub busy: u32,
+    /// Opening packets without a sign of life after them.
+    pub unanswered: u32,
+    alive_at: Option<Moment>,
+    retry_at: Moment,
+    retry_pause: Duration,
+}
+
+/// Sum of what other VMs report of one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reported {
+    /// Flows that are open.
+    pub open: u32,
+    /// Requests that wait for an answer.
+    pub busy: u32,
+    /// Opening packets without a sign of life after them.
+    pub unanswered: u32,
+    /// Time since the last sign of life when the report was made.
+    pub silence: Duration,
+}
+
+/// Reports of other VMs by endpoint tag.
+#[derive(Debug, Default)]
+struct Report {
+    hub: Option<Ipv4Addr>,
+    contributors: u32,
+    at: Moment,
+    by_tag: HashMap<u32, Reported>,
+}
+
+/// Load of all endpoints.
+#[derive(Debug, Default)]
+pub struct Board {
+    own: SecondaryMap<Key, Own>,
+    report: Report,
+}
+
+impl Board {
+    /// Returns what this VM causes at an endpoint.
+    pub fn own(&self, key: Key) -> Own {
+        self.own.get(key).copied().unwrap_or_default()
+    }
+
+    /// Returns what the other VMs report of an endpoint.
+    pub fn reported(&self, endpoint: &Endpoint, now: Moment) -> Reported {
+        if now.since(self.report.at) > REPORT_LIFETIME {
+            return Reported::default();
+        }
+        let reported = self.report.by_tag.get(&endpoint.tag);
+        reported.copied().unwrap_or_default()
+    }
+
+    /// Returns the VMs whose load the report in use includes.
+    pub fn contributors(&self) -> u32 {
+        self.report.contributors
+    }
+
+    /// Counts a new flow with its first request.
+    pub fn add_flow(&mut self, key: Key) {
+        if let Some(own) = self.entry(key) {
+            own.open += 1;
+            own.busy += 1;
+        }
+    }
+
+    /// Replaces the counts of open flows and waiting requests.
+    pub fn recount(&mut self, counts: &HashMap<Key, (u32, u32)>) {
+        for own in self.own.values_mut() {
+            (own.open, own.busy) = (0, 0);
+        }
+        for (key, (open, busy)) in counts {
+            if let Some(own) = self.entry(*key) {
+                (own.open, own.busy) = (*open, *busy);
+            }
+        }
+    }
+
+    /// Notes that an endpoint answered.
+    pub fn note_alive(&mut self, key: Key, now: Moment) {
+        if let Some(own) = self.entry(key) {
+            own.unanswered = 0;
+            own.alive_at = Some(now);
+            own.retry_pause = Duration::ZERO;
+        }
+    }
+
+    /// Notes that a packet sent to an endpoint at `sent_at` has no answer by now; returns
+    /// whether this made the endpoint silent.
+    pub fn note_unanswered(&mut self, key: Key, sent_at: Moment, now: Moment) -> bool {
+        let Some(own) = self.entry(key) else {
+            return false;
+        };
+        if own.alive_at.is_some_and(|alive_at| alive_at >= sent_at) {
+            return false;
+        }
+        own.unanswered += 1;
+        if own.unanswered == SILENT_AFTER {
+            own.retry_at = now + FIRST_RETRY;
+        }
+        own.unanswered == SILENT_AFTER
+    }
+
+    /// Returns whether an endpoint answered within `window`.
+    pub fn is_alive(&self, key: Key, window: Duration, now: Moment) -> bool {
+        let alive_at = self.own(key).alive_at;
+        alive_at.is_some_and(|alive_at| now.since(alive_at) <= window)
+    }
+
+    /// Returns whether an endpoint is silent: packets to it stay without an answer.
+    pub fn is_silent(&self, key: Key, endpoint: &Endpoint, now: Moment) -> bool {
+        let own = self.own(key);
+        if own.unanswered >= SILENT_AFTER {
+            return true;
+        }
+        let reported = self.reported(endpoint, now);
+        let is_reported = own.unanswered + reported.unanswered >= SILENT_AFTER
+            && reported.silence > ALIVE_WINDOW;
+        is_reported && !self.is_alive(key, ALIVE_WINDOW, now)
+    }
+
+    /// Returns whether a silent endpoint may be tried with a new flow.
+    pub fn may_retry(&self, key: Key, now: Moment) -> bool {
+        let own = self.own(key);
+        own.unanswered >= SILENT_AFTER && now >= own.retry_at
+    }
+
+    /// Notes that a silent endpoint is tried.
+    pub fn note_retry(&mut self, key: Key, now: Moment) {
+        if let Some(own) = self.entry(key) {
+            own.retry_pause = (own.retry_pause * 2).clamp(FIRST_RETRY, MAX_RETRY);
+            own.retry_at = now + own.retry_pause;
+        }
+    }
+
+    /// Drops what is held of endpoints that are gone.
+    pub fn forget(&mut self, keys: &[Key]) {
+        for key in keys {
+            self.own.remove(*key);
+        }
+    }
+
+    /// Returns this VM's part as a message.
+    pub fn own_message(&self, catalog: &Catalog, now: Moment) -> Vec<message::Load> {
+        let loads = self.own.iter().filter_map(|(key, own)| {
+            let endpoint = catalog.endpoint(key)?;
+            let silence = own.alive_at.map_or(MAX_SILENCE, |alive| now.since(alive));
+            let is_idle = own.open == 0 && own.busy == 0 && own.unanswered == 0;
+            if is_idle && silence >= REPORT_LIFETIME {
+                return None;
+            }
+            Some(message::Load {
+                tag: endpoint.tag,
+                open: own.open,
+                busy: own.busy,
+                unanswered: own.unanswered,
+                silent_ms: silence.min(MAX_SILENCE).as_millis() as u32,
+            })
+        });
+        loads.collect()
+    }
+
+    /// Takes a hub's sum over other VMs, unless one from a hub that knows more is recent.
+    pub fn take_report(
+        &mut self,
+        hub: Ipv4Addr,
+        contributors: u32,
+        loads: &[message::Load],
+        now: Moment,
+    ) {
+        let held = &self.report;
+        let is_better = held.hub == Some(hub)
+            || contributors >= held.contributors
+            || now.since(held.at) > REPORT_INTERVAL;
+        if !is_better {
+            return;
+        }
+        self.report = Report {
+            hub: Some(hub),
+            contributors,
+            at: now,
+            by_tag: sum(loads.iter()),
+        };
+    }
+
+    fn entry(&mut self, key: Key) -> Option<&mut Own> {
+        self.own.entry(key).map(|entry| entry.or_default())
+    }
+}
+
+/// Adds up loads by endpoint tag.
+pub fn sum<'a>(loads: impl Iterator<Item = &'a message::Load>) -> HashMap<u32, Reported> {
+    let mut sums = HashMap::new();
+    for load in loads {
+        let silence = Duration::from_millis(load.silent_ms.into());
+        let sum = sums.entry(load.tag).or_insert(Reported {
+            silence,
+            ..Reported::default()
+        });
+        sum.open += load.open;
+        sum.busy += load.busy;
+        sum.unanswered += load.unanswered;
+        sum.silence = sum.silence.min(silence);
+    }
+    sums
+}
+
+/// Returns sums as a message.
+pub fn message(sums: &HashMap<u32, Reported>) -> Vec<message::Load> {
+    let loads = sums.iter().map(|(tag, sum)| message::Load {
+        tag: *tag,
+        open: sum.open,
+        busy: sum.busy,
+        unanswered: sum.unanswered,
+        silent_ms: sum.silence.as_millis() as u32,
+    });
+    loads.collect()
+}
--- /dev/null
+++ b/crates/steering/src/mesh/mod.rs
@@ -0,0 +1,14 @@
+//! VMs among themselves: who is alive, who aggregates load, and how news spreads.
+//!
+//! Every VM sends heartbeats with its load to two hubs of its data centre, which answer
+//! with the sum over all VMs. Hubs do the same with one hub of every other data centre.
+//! So the messages of a VM do not grow with the fleet, and those of a hub grow with its
+//! data centre only.
+
+mod link;
+mod members;
+mod sums;
+
+pub use link::{Link, beat, pull, receive};
+pub use members::{Member, Table};
+pub use sums::Sums;
--- /dev/null
+++ b/crates/steering/src/reader.rs
@@ -0,0 +1,207 @@
+//! Keeps the catalog current from the publisher.
+//!
+//! One VM of a data centre reads; the others learn from it. A VM whose catalog grows old
+//! reads itself, the later the further back it stands in the order of readers, so a reader
+//! that died, froze or lost its path is replaced without an agreement.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use metrics::counter;
+use spdlog::{info, warn};
+use tokio::time::sleep;
+
+use crate::mesh::Link;
+use crate::prelude::*;
+use crate::publisher::{Publication, Publisher};
+use crate::settings::Settings;
+
+/// Longest wait of one watch. A watch that hangs is found out after it, so that it bounds
+/// the age of what the data centre knows.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+
+/// Age of the catalog at which the second reader steps in: a watch and its answer.
+const STALE_AFTER: Duration = Duration::from_millis(1600);
+
+/// Further age for each place in the order of readers.
+const STALE_STEP: Duration = Duration::from_millis(200);
+
+/// Places after which the age no longer grows.
+const MAX_STEPS: u32 = 8;
+
+/// Time for which a VM that stepped in goes on reading.
+const STAND_IN: Duration = Duration::from_secs(4);
+
+/// How often a VM looks whether it has to read.
+const ROLE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause after a failed reading; doubles with each.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed readings.
+const MAX_PAUSE: Duration = Duration::from_millis(600);
+
+/// Pause between two watches, so that changes in quick succession come in one answer.
+const WATCH_PAUSE: Duration = Duration::from_millis(120);
+
+/// Time for which a starting VM waits for neighbours to bring the catalog.
+const START_PATIENCE: Duration = Duration::from_millis(100);
+
+/// The same when the whole system starts and no neighbour can have it.
+const FIRST_START_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Further patience for each place in the order of readers.
+const PATIENCE_STEP: Duration = Duration::from_millis(50);
+
+/// Age of the catalog at a successful reading above which the store counts as returned.
+const AWAY_AFTER: Duration = Duration::from_millis(1800);
+
+/// Time after the store's return in which entries that lapsed are put back.
+const LAPSE_HOLD: Duration = Duration::from_millis(2200);
+
+/// Reads the publisher for one VM.
+pub struct Reader {
+    publisher: Box<dyn Publisher>,
+    catalog: Arc<Mutex<Catalog>>,
+    link: Arc<Link>,
+    started_at: Moment,
+    is_first_start: bool,
+    returned_at: Option<Moment>,
+    stands_in_until: Moment,
+    calls: Arc<AtomicU64>,
+}
+
+impl Reader {
+    /// Returns a reader that starts now.
+    pub fn new(
+        settings: &Settings,
+        publisher: Box<dyn Publisher>,
+        catalog: Arc<Mutex<Catalog>>,
+        link: Arc<Link>,
+    ) -> Self {
+        Self {
+            publisher,
+            catalog,
+            link,
+            started_at: Moment::now(),
+            is_first_start: settings.is_first_start,
+            returned_at: None,
+            stands_in_until: Moment::default(),
+            calls: Arc::default(),
+        }
+    }
+
+    /// Runs for the life of the process.
+    pub async fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            if !self.is_due(Moment::now()) {
+                sleep(ROLE_INTERVAL).await;
+                continue;
+            }
+            match self.read().await {
+                Ok(()) => {
+                    if pause > FIRST_PAUSE {
+                        info!("event=store_regained");
+                    }
+                    pause = FIRST_PAUSE;
+                    sleep(WATCH_PAUSE).await;
+                }
+                Err(error) => {
+                    counter!("ragwortbeam_store_failures_total").increment(1);
+                    let age = self.catalog.lock().unwrap().age(Moment::now());
+                    warn!(
+                        "event=store_read_failed error=\"{error}\" catalog_age_ms={}",
+                        age.as_millis()
+                    );
+                    sleep(pause).await;
+                    pause = (pause * 2).min(MAX_PAUSE);
+                }
+            }
+        }
+    }
+
+    /// Returns whether this VM has to read now.
+    fn is_due(&mut self, now: Moment) -> bool {
+        let rank = self.link.members.lock().unwrap().rank(now) as u32;
+        let catalog = self.catalog.lock().unwrap();
+        if !catalog.is_loaded() {
+            let patience = if self.is_first_start {
+                FIRST_START_PATIENCE
+            } else {
+                START_PATIENCE
+            };
+            return now.since(self.started_at) >= patience + PATIENCE_STEP * rank;
+        }
+        if rank == 0 || now < self.stands_in_until {
+            return true;
+        }
+        let is_stale = catalog.age(now) > STALE_AFTER + STALE_STEP * rank.min(MAX_STEPS);
+        if is_stale {
+            info!(
+                "event=reader_steps_in rank={rank} catalog_age_ms={}",
+                catalog.age(now).as_millis()
+            );
+            self.stands_in_until = now + STAND_IN;
+        }
+        is_stale
+    }
+
+    async fn read(&mut self) -> Result<()> {
+        let (revision, is_loaded) = {
+            let catalog = self.catalog.lock().unwrap();
+            (catalog.revision(), catalog.is_loaded())
+        };
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if is_loaded {
+            let sent_at = Moment::now();
+            let changes = self.publisher.changes(revision, WATCH_WAIT).await?;
+            if let Some(changes) = changes {
+                self.take(changes, None, sent_at);
+                return Ok(());
+            }
+            info!("event=store_history_gone revision={revision}");
+        }
+        let sent_at = Moment::now();
+        let publication = self.publisher.read_all().await?;
+        let present = publication.items.iter().map(|item| item.endpoint).collect();
+        self.take(publication, Some(present), sent_at);
+        Ok(())
+    }
+
+    /// Takes what the publisher answered; `present` holds all endpoints when it was
+    /// everything.
+    fn take(&mut self, publication: Publication, present: Option<Vec<u64>>, sent_at: Moment) {
+        let now = Moment::now();
+        // A late answer proves no more than that it was true when its wait ended.
+        let known_at = now.min(sent_at + WATCH_WAIT);
+        let before = {
+            let mut catalog = self.catalog.lock().unwrap();
+            if catalog.is_loaded() && catalog.age(now) > AWAY_AFTER {
+                info!(
+                    "event=store_returned catalog_age_ms={}",
+                    catalog.age(now).as_millis()
+                );
+                self.returned_at = Some(now);
+            }
+            let hold = self.returned_at.map_or(Duration::ZERO, |returned_at| {
+                (returned_at + LAPSE_HOLD).since(now)
+            });
+            let before = catalog.revision();
+            if let Some(configuration) = publication.configuration {
+                catalog.take_configuration(configuration);
+            }
+            for item in publication.items {
+                catalog.take_item(item, now, hold);
+            }
+            if let Some(present) = present {
+                catalog.remove_missing(&present, publication.revision, now, hold);
+            }
+            catalog.advance(publication.revision, known_at);
+            before
+        };
+        let after = self.catalog.lock().unwrap().revision();
+        if after > before {
+            self.link.spread(before);
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/settings.rs
@@ -0,0 +1,153 @@
+//! Settings of a steering VM: reading and checking the JSON file.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::errors::{Error, Result};
+use crate::generated::ragwortbeam::steering::settings::v1 as document;
+
+/// What is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
+#[display("{file}: {field}: expected {expected}, found {found}")]
+pub struct Fault {
+    /// Path of the file.
+    pub file: String,
+    /// Path of the field within the file.
+    pub field: String,
+    /// What the field has to be.
+    pub expected: String,
+    /// What it is.
+    pub found: String,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: String,
+    /// Data centre this VM stands in.
+    pub data_centre: String,
+    /// Address for callers' packets; resets to callers go to the same port.
+    pub packet_address: SocketAddrV4,
+    /// Address of the readiness check.
+    pub ready_address: SocketAddrV4,
+    /// Address for other VMs; its port is the same on all VMs.
+    pub peer_address: SocketAddrV4,
+    /// Address of metrics and status.
+    pub metrics_address: SocketAddrV4,
+    /// Address of the platform's store.
+    pub platform_address: SocketAddrV4,
+    /// VMs to contact first.
+    pub seeds: Vec<Ipv4Addr>,
+    /// True when the whole system starts for the first time.
+    pub is_first_start: bool,
+    /// Interval at which endpoints renew their entries.
+    pub endpoint_heartbeat: Duration,
+    /// Longest graceful stop.
+    pub stop_timeout: Duration,
+    /// Age after which a flow may be dropped.
+    pub flow_lifetime: Duration,
+    /// Relative size of the VM: its link in Mbit/s by its share of a core in percent.
+    pub weight: u32,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// [`Error::Io`] when the file cannot be read, [`Error::Settings`] when it is wrong.
+pub fn load(path: &Path) -> Result<Settings> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| Error::io(&file, source))?;
+    parse(&file, &text).map_err(Error::Settings)
+}
+
+/// Reads and checks the text of a settings file; `file` names it in faults.
+///
+/// # Errors
+///
+/// The first fault found.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Fault> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let decoded: Result<document::Settings, _> = serde_path_to_error::deserialize(&mut deserializer);
+    let document = decoded.map_err(|error| Fault {
+        file: file.to_owned(),
+        field: error.path().to_string(),
+        expected: "a document as docs/OPERATIONS.md describes".to_owned(),
+        found: error.inner().to_string(),
+    })?;
+    Check { file }.settings(document)
+}
+
+struct Check<'a> {
+    file: &'a str,
+}
+
+impl Check<'_> {
+    fn settings(&self, document: document::Settings) -> Result<Settings, Fault> {
+        let mut seeds = Vec::new();
+        for (index, seed) in document.seeds.iter().enumerate() {
+            seeds.push(*self.address(&format!("seeds[{index}]"), seed)?.ip());
+        }
+        let heartbeat_s = f64::from(document.endpoint_heartbeat_ms) / 1000.0;
+        let link = self.above_zero("link_mbps", document.link_mbps)?;
+        let cpu = self.above_zero("cpu_share", document.cpu_share)?;
+        Ok(Settings {
+            vm: self.name("vm", document.vm)?,
+            data_centre: self.name("data_centre", document.data_centre)?,
+            packet_address: self.address("packet_address", &document.packet_address)?,
+            ready_address: self.address("ready_address", &document.ready_address)?,
+            peer_address: self.address("peer_address", &document.peer_address)?,
+            metrics_address: self.address("metrics_address", &document.metrics_address)?,
+            platform_address: self.address("platform_address", &document.platform_address)?,
+            seeds,
+            is_first_start: document.is_first_start,
+            endpoint_heartbeat: self.seconds("endpoint_heartbeat_ms", heartbeat_s)?,
+            stop_timeout: self.seconds("stop_timeout_s", document.stop_timeout_s)?,
+            flow_lifetime: self.seconds("flow_lifetime_s", document.flow_lifetime_s)?,
+            weight: (link * cpu * 100.0).clamp(1.0, f64::from(u32::MAX)) as u32,
+        })
+    }
+
+    fn fault(&self, field: &str, expected: &str, found: impl ToString) -> Fault {
+        Fault {
+            file: self.file.to_owned(),
+            field: field.to_owned(),
+            expected: expected.to_owned(),
+            found: found.to_string(),
+        }
+    }
+
+    fn name(&self, field: &str, text: String) -> Result<String, Fault> {
+        if text.trim().is_empty() {
+            return Err(self.fault(field, "a name", "nothing"));
+        }
+        Ok(text)
+    }
+
+    fn address(&self, field: &str, text: &str) -> Result<SocketAddrV4, Fault> {
+        let address: SocketAddrV4 = text
+            .parse()
+            .map_err(|_| self.fault(field, "IPv4:port", text))?;
+        if address.port() == 0 {
+            return Err(self.fault(field, "a port in 1..=65535", 0));
+        }
+        Ok(address)
+    }
+
+    fn above_zero(&self, field: &str, value: f64) -> Result<f64, Fault> {
+        if value.is_finite() && value > 0.0 {
+            return Ok(value);
+        }
+        Err(self.fault(field, "a number above 0", value))
+    }
+
+    fn seconds(&self, field: &str, value: f64) -> Result<Duration, Fault> {
+        let value = self.above_zero(field, value)?;
+        Duration::try_from_secs_f64(value).map_err(|error| self.fault(field, "a time", error))
+    }
+}
