Start faster after a power loss of all VMs

Change: packets wait for the first catalog; the store is read 15 ms after the start; sockets are awaited as writable before the first write.

--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -374,6 +374,10 @@
 
 /// Sends heartbeats for the life of the process.
 pub async fn beat(link: Arc<Link>) {
+    // The first write after binding fails until the runtime knows the socket as writable.
+    if let Err(error) = link.socket.writable().await {
+        warn!("event=peer_socket_failed error=\"{error}\"");
+    }
     let mut count: u64 = 0;
     loop {
         let now = Moment::now();
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -34,6 +34,9 @@
 /// How often a VM looks whether it has to read.
 const ROLE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The same while there is no catalog.
+const START_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Pause after a failed reading; doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -43,14 +46,15 @@
 /// Pause between two watches, so that changes in quick succession come in one answer.
 const WATCH_PAUSE: Duration = Duration::from_millis(120);
 
-/// Time for which a starting VM waits for neighbours to bring the catalog.
-const START_PATIENCE: Duration = Duration::from_millis(100);
+/// Time for which a starting VM waits for neighbours to bring the catalog: a few round
+/// trips, as callers wait too.
+const START_PATIENCE: Duration = Duration::from_millis(15);
 
 /// The same when the whole system starts and no neighbour can have it.
 const FIRST_START_PATIENCE: Duration = Duration::from_millis(400);
 
-/// Further patience for each place in the order of readers.
-const PATIENCE_STEP: Duration = Duration::from_millis(50);
+/// Further patience for each place in the order of readers when the whole system starts.
+const FIRST_START_STEP: Duration = Duration::from_millis(50);
 
 /// Age of the catalog at a successful reading above which the store counts as returned.
 const AWAY_AFTER: Duration = Duration::from_millis(1800);
@@ -95,7 +99,8 @@
         let mut pause = FIRST_PAUSE;
         loop {
             if !self.is_due(Moment::now()) {
-                sleep(ROLE_INTERVAL).await;
+                let is_loaded = self.catalog.lock().unwrap().is_loaded();
+                sleep(if is_loaded { ROLE_INTERVAL } else { START_INTERVAL }).await;
                 continue;
             }
             match self.read().await {
@@ -126,11 +131,11 @@
         let catalog = self.catalog.lock().unwrap();
         if !catalog.is_loaded() {
             let patience = if self.is_first_start {
-                FIRST_START_PATIENCE
+                FIRST_START_PATIENCE + FIRST_START_STEP * rank
             } else {
                 START_PATIENCE
             };
-            return now.since(self.started_at) >= patience + PATIENCE_STEP * rank;
+            return now.since(self.started_at) >= patience;
         }
         if rank == 0 || now < self.stands_in_until {
             return true;
--- a/crates/steering/src/steer.rs
+++ b/crates/steering/src/steer.rs
@@ -5,8 +5,10 @@
 use derive_more::Display;
 use metrics::counter;
 use ragwortbeam_base::logging::Budget;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::net::UdpSocket;
+use tokio::task::yield_now;
+use tokio::time::sleep;
 
 use crate::catalog::{Key, Traffic, address_mask};
 use crate::choice::{self, Wish};
@@ -28,6 +30,13 @@
 /// Idle time of flows before the first configuration says one.
 const DEFAULT_FLOW_IDLE: Duration = Duration::from_secs(15);
 
+/// Packets that wait for the first catalog of a starting VM: a second of a busy VM's
+/// opening packets. Further ones are discarded.
+const MAX_EARLY: usize = 1024;
+
+/// How often a starting VM looks whether it has a catalog.
+const EARLY_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Lines a second about new flows.
 static OPENED: Budget = Budget::new(20);
 /// Lines a second about resets and dropped packets.
@@ -40,6 +49,9 @@
     /// It is not a packet.
     #[display("malformed")]
     Malformed,
+    /// It came before the first catalog, and too many wait for it.
+    #[display("too_early")]
+    TooEarly,
     /// Its token names no endpoint known here.
     #[display("unknown_token")]
     UnknownToken,
@@ -55,6 +67,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::TooEarly => "too_early",
             Self::UnknownToken => "unknown_token",
             Self::CatalogOutdated => "catalog_outdated",
             Self::NoFlow => "no_flow",
@@ -118,6 +131,11 @@
         self.last_packet_ms.load(Ordering::Relaxed)
     }
 
+    /// Returns whether there is a catalog to decide by.
+    pub fn is_loaded(&self) -> bool {
+        self.catalog.lock().unwrap().is_loaded()
+    }
+
     /// Decides what happens to a packet.
     pub fn decide(&self, packet: &Packet, now: Moment) -> Outcome {
         let catalog = self.catalog.lock().unwrap();
@@ -264,12 +282,19 @@
 
 /// Runs for the life of the process.
 pub async fn run(steering: Arc<Steering>, codec: Box<dyn Codec>, socket: Arc<UdpSocket>) {
+    // The first write after binding fails until the runtime knows the socket as writable.
+    if let Err(error) = socket.writable().await {
+        warn!("event=packet_socket_failed error=\"{error}\"");
+    }
     let mut datagram = [0; MAX_DATAGRAM_LEN];
     let mut out = Vec::with_capacity(MAX_DATAGRAM_LEN);
+    for early in receive_early(&steering, &socket).await {
+        handle(&steering, &*codec, &socket, &early, &mut out);
+    }
     loop {
         if let Err(error) = socket.readable().await {
-            spdlog::warn!("event=packet_socket_failed error=\"{error}\"");
-            tokio::time::sleep(RECOUNT_INTERVAL).await;
+            warn!("event=packet_socket_failed error=\"{error}\"");
+            sleep(RECOUNT_INTERVAL).await;
             continue;
         }
         for _ in 0..BATCH {
@@ -280,8 +305,27 @@
             };
             handle(&steering, &*codec, &socket, &datagram[..len], &mut out);
         }
-        tokio::task::yield_now().await;
+        yield_now().await;
+    }
+}
+
+/// Keeps packets until there is a catalog, so that those of callers that wait since before
+/// this VM's start are answered with it and not only when they are sent again.
+async fn receive_early(steering: &Steering, socket: &UdpSocket) -> Vec<Vec<u8>> {
+    let mut early = Vec::new();
+    let mut datagram = [0; MAX_DATAGRAM_LEN];
+    while !steering.is_loaded() {
+        while let Ok((len, _)) = socket.try_recv_from(&mut datagram) {
+            if early.len() < MAX_EARLY {
+                early.push(datagram[..len].to_vec());
+            } else {
+                count_discard(Discard::TooEarly);
+            }
+        }
+        sleep(EARLY_INTERVAL).await;
     }
+    info!("event=steering early_packets={}", early.len());
+    early
 }
 
 /// Keeps counts current for the life of the process.
