--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -17,11 +17,9 @@
 /// The same when a flow of a single request is placed, which ends soon.
 const FLOW_SHARE_OF_SINGLE: f64 = 0.03;
 
-/// Load for each slot by which an endpoint of another data centre has to be better.
-const REMOTE_PENALTY: f64 = 0.35;
-
-/// The same for large answers, which would cross between data centres.
-const REMOTE_PENALTY_BULK: f64 = 4.0;
+/// Load for each slot by which an endpoint of another data centre has to be better: a
+/// partition would cut its flows off, and bytes between data centres cost.
+const REMOTE_PENALTY: f64 = 3.0;
 
 /// Load that an endpoint with slow answers after its start counts for in addition, as a
 /// factor.
@@ -104,10 +102,7 @@
         cost = (cost + 1.0 / f64::from(endpoint.entry.slots)) * COLD_FACTOR;
     }
     if *endpoint.entry.data_centre != *wish.data_centre {
-        cost += match wish.traffic {
-            Traffic::Bulk => REMOTE_PENALTY_BULK,
-            Traffic::Idempotent | Traffic::NonIdempotent => REMOTE_PENALTY,
-        };
+        cost += REMOTE_PENALTY;
     }
     cost
 }
