--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -50,11 +50,14 @@
 /// trips, as callers wait too.
 const START_PATIENCE: Duration = Duration::from_millis(15);
 
+/// The same when a neighbour has answered: it has the catalog or reads it.
+const COMPANY_PATIENCE: Duration = Duration::from_millis(60);
+
 /// The same when the whole system starts and no neighbour can have it.
 const FIRST_START_PATIENCE: Duration = Duration::from_millis(400);
 
-/// Further patience for each place in the order of readers when the whole system starts.
-const FIRST_START_STEP: Duration = Duration::from_millis(50);
+/// Further patience for each place in the order of readers.
+const PATIENCE_STEP: Duration = Duration::from_millis(25);
 
 /// Age of the catalog at a successful reading above which the store counts as returned.
 const AWAY_AFTER: Duration = Duration::from_millis(1800);
@@ -127,11 +130,16 @@
 
     /// Returns whether this VM has to read now.
     fn is_due(&mut self, now: Moment) -> bool {
-        let rank = self.link.members.lock().unwrap().rank(now) as u32;
+        let (rank, has_company) = {
+            let members = self.link.members.lock().unwrap();
+            (members.rank(now) as u32, members.has_company(now))
+        };
         let catalog = self.catalog.lock().unwrap();
         if !catalog.is_loaded() {
             let patience = if self.is_first_start {
-                FIRST_START_PATIENCE + FIRST_START_STEP * rank
+                FIRST_START_PATIENCE + PATIENCE_STEP * rank
+            } else if has_company && rank > 0 {
+                COMPANY_PATIENCE + PATIENCE_STEP * rank.min(MAX_STEPS)
             } else {
                 START_PATIENCE
             };
