Spread load by fresher counts; count opening packets without an answer

Counts of other VMs were up to 350 ms old (heartbeats of 175 ms in a data centre of 35 VMs), and flows of single requests stayed in a full data centre.

Change: heartbeats each 50 ms in a data centre of up to 40 VMs; single requests leave their data centre at 0.5 requests a slot; an opening packet without an answer counts after 60 ms instead of with the caller's next copy; near ties are wider.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -83,7 +83,11 @@
         Ok(answer)
     }
 
-    async fn exchange(&self, kept: Option<Sender>, path: &str) -> Result<(Answer, Sender), Failure> {
+    async fn exchange(
+        &self,
+        kept: Option<Sender>,
+        path: &str,
+    ) -> Result<(Answer, Sender), Failure> {
         let usable = kept.filter(|sender| !sender.is_closed());
         let mut sender = match usable {
             Some(sender) => sender,
--- a/crates/steering/src/catalog/configuration.rs
+++ b/crates/steering/src/catalog/configuration.rs
@@ -41,7 +41,11 @@
 impl Route {
     /// Returns the service of a new flow; `draw` is any number, drawn for the flow.
     pub fn service(&self, draw: u64) -> &Arc<str> {
-        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let total: u64 = self
+            .targets
+            .iter()
+            .map(|target| u64::from(target.weight))
+            .sum();
         let mut rest = draw % total.max(1);
         for target in &self.targets {
             if rest < u64::from(target.weight) {
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -209,9 +209,7 @@
             .iter()
             .filter(|(id, key)| {
                 let endpoint = &self.endpoints[**key];
-                endpoint.removal.is_none()
-                    && endpoint.revision <= revision
-                    && !present.contains(id)
+                endpoint.removal.is_none() && endpoint.revision <= revision && !present.contains(id)
             })
             .map(|(id, _)| *id)
             .collect();
@@ -231,14 +229,19 @@
         let dropped: Vec<Key> = self
             .endpoints
             .iter()
-            .filter(|(_, endpoint)| endpoint.gone_for(now).is_some_and(|gone| gone > flow_lifetime))
+            .filter(|(_, endpoint)| {
+                endpoint
+                    .gone_for(now)
+                    .is_some_and(|gone| gone > flow_lifetime)
+            })
             .map(|(key, _)| key)
             .collect();
         for key in &dropped {
             if let Some(endpoint) = self.endpoints.remove(*key) {
                 self.forgotten_revision = self.forgotten_revision.max(endpoint.revision);
                 self.by_id.retain(|_, held| held != key);
-                self.by_tag.retain(|tag, held| *tag != endpoint.tag || held != key);
+                self.by_tag
+                    .retain(|tag, held| *tag != endpoint.tag || held != key);
             }
         }
         dropped
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -10,23 +10,46 @@
 use crate::load::Board;
 use crate::prelude::*;
 
-/// Load, in requests for each slot, that an open flow of idempotent requests stands for
-/// when another such flow is placed: its requests come again and again.
-const FLOW_SHARE_OF_LASTING: f64 = 0.15;
+/// Weights of open flows and waiting requests in the load of an endpoint, and the
+/// advantage for each slot that an endpoint of another data centre needs.
+struct Weights {
+    open: f64,
+    busy: f64,
+    remote: f64,
+}
+
+/// For flows of many requests: they stay for long, so the number of such flows counts more
+/// than what waits right now, and a partition would cut them off.
+const LASTING: Weights = Weights {
+    open: 0.15,
+    busy: 1.0,
+    remote: 3.0,
+};
 
-/// The same when a flow of a single request is placed, which ends soon.
-const FLOW_SHARE_OF_SINGLE: f64 = 0.03;
+/// For flows of a single request, which end before the load changes.
+const SINGLE: Weights = Weights {
+    open: 0.03,
+    busy: 1.0,
+    remote: 0.5,
+};
 
-/// Load for each slot by which an endpoint of another data centre has to be better: a
-/// partition would cut its flows off, and bytes between data centres cost.
-const REMOTE_PENALTY: f64 = 3.0;
+/// For large answers, which are short work but many bytes between data centres.
+const BULK: Weights = Weights {
+    open: 0.03,
+    busy: 1.0,
+    remote: 4.0,
+};
 
 /// Load that an endpoint with slow answers after its start counts for in addition, as a
 /// factor.
 const COLD_FACTOR: f64 = 1.6;
 
+/// Load for each slot that an unanswered opening packet counts for, below the number that
+/// makes an endpoint silent.
+const UNANSWERED_PENALTY: f64 = 1.0;
+
 /// Width of the random part, in requests for each slot.
-const TIE_WIDTH: f64 = 0.25;
+const TIE_WIDTH: f64 = 0.45;
 
 /// Share of a service's endpoints, in percent, that may be left out as silent. When more
 /// seem silent, the fault is likely to be on this VM's side.
@@ -93,16 +116,19 @@
     let reported = board.reported(endpoint, now);
     let open = f64::from(own.open + reported.open);
     let busy = f64::from(own.busy + reported.busy);
-    let flow_share = match wish.traffic {
-        Traffic::Idempotent => FLOW_SHARE_OF_LASTING,
-        Traffic::NonIdempotent | Traffic::Bulk => FLOW_SHARE_OF_SINGLE,
+    let weights = match wish.traffic {
+        Traffic::Idempotent => LASTING,
+        Traffic::NonIdempotent => SINGLE,
+        Traffic::Bulk => BULK,
     };
-    let mut cost = (busy + open * flow_share) / f64::from(endpoint.entry.slots);
+    let load = busy * weights.busy + open * weights.open;
+    let mut cost = load / f64::from(endpoint.entry.slots);
+    cost += f64::from(own.unanswered) * UNANSWERED_PENALTY;
     if endpoint.is_cold(now) {
         cost = (cost + 1.0 / f64::from(endpoint.entry.slots)) * COLD_FACTOR;
     }
     if *endpoint.entry.data_centre != *wish.data_centre {
-        cost += REMOTE_PENALTY;
+        cost += weights.remote;
     }
     cost
 }
--- a/crates/steering/src/flow.rs
+++ b/crates/steering/src/flow.rs
@@ -60,6 +60,8 @@
     pub opened_at: Moment,
     /// Time of the last packet with new data or a new acknowledgement.
     pub advanced_at: Moment,
+    /// True when it is counted that the last opening packet has no answer.
+    pub is_noted: bool,
     seen_at: Moment,
     is_open: bool,
     is_finished: bool,
@@ -78,6 +80,7 @@
             copies: packet.acknowledged,
             opened_at: now,
             advanced_at: now,
+            is_noted: false,
             seen_at: now,
             is_open: false,
             is_finished: false,
@@ -106,6 +109,7 @@
         self.endpoint = endpoint;
         self.copies = packet.acknowledged;
         self.opened_at = now;
+        self.is_noted = false;
         self.seen_at = now;
     }
 
--- a/crates/steering/src/load.rs
+++ b/crates/steering/src/load.rs
@@ -152,8 +152,8 @@
             return true;
         }
         let reported = self.reported(endpoint, now);
-        let is_reported = own.unanswered + reported.unanswered >= SILENT_AFTER
-            && reported.silence > ALIVE_WINDOW;
+        let is_reported =
+            own.unanswered + reported.unanswered >= SILENT_AFTER && reported.silence > ALIVE_WINDOW;
         is_reported && !self.is_alive(key, ALIVE_WINDOW, now)
     }
 
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -26,21 +26,21 @@
 const HUBS: usize = 2;
 
 /// Heartbeats a second towards hubs in a data centre of up to [`FULL_RATE_VMS`].
-const BEAT_INTERVAL: Duration = Duration::from_millis(100);
+const BEAT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// VMs of a data centre above which heartbeats are spaced out, so that a hub's work stays
 /// constant.
-const FULL_RATE_VMS: u32 = 20;
+const FULL_RATE_VMS: u32 = 40;
 
 /// Heartbeats between hubs of different data centres, each this many of the others.
-const FOREIGN_EVERY: u64 = 3;
+const FOREIGN_EVERY: u64 = 5;
 
 /// Member lists are asked for in each this many heartbeats, and VMs that are down are
 /// probed.
-const MEMBERS_EVERY: u64 = 20;
+const MEMBERS_EVERY: u64 = 40;
 
 /// VMs that are down are probed in each this many heartbeats.
-const PROBE_EVERY: u64 = 5;
+const PROBE_EVERY: u64 = 10;
 
 /// VMs that are down and probed at a time.
 const MAX_PROBES: usize = 4;
@@ -384,7 +384,11 @@
         link.take_own(now);
         let (has_company, size, rank) = {
             let members = link.members.lock().unwrap();
-            (members.has_company(now), members.size(now), members.rank(now))
+            (
+                members.has_company(now),
+                members.size(now),
+                members.rank(now),
+            )
         };
         let wants_members = count.is_multiple_of(MEMBERS_EVERY) || !has_company;
         link.send_beats(wants_members, now);
--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -11,7 +11,7 @@
 use crate::prelude::*;
 
 /// Heartbeats without an answer after which a VM counts as down here.
-const MAX_UNANSWERED: u32 = 3;
+const MAX_UNANSWERED: u32 = 6;
 
 /// Age of the last sign of life, direct or told by others, above which a VM counts as
 /// down: member lists are two seconds apart.
@@ -175,9 +175,10 @@
 
     /// Returns the number of VMs alive in this data centre, this one included.
     pub fn size(&self, now: Moment) -> usize {
-        let alive = self.others.values().filter(|member| {
-            member.is_alive(now) && member.data_centre == self.data_centre
-        });
+        let alive = self
+            .others
+            .values()
+            .filter(|member| member.is_alive(now) && member.data_centre == self.data_centre);
         alive.count() + 1
     }
 
@@ -206,7 +207,9 @@
     /// Returns the first hub of every other data centre.
     pub fn foreign_hubs(&self, now: Moment) -> Vec<Ipv4Addr> {
         let zones = self.foreign_data_centres();
-        let hubs = zones.iter().filter_map(|zone| self.ranked(zone, now).first().copied());
+        let hubs = zones
+            .iter()
+            .filter_map(|zone| self.ranked(zone, now).first().copied());
         hubs.collect()
     }
 
--- a/crates/steering/src/mesh/sums.rs
+++ b/crates/steering/src/mesh/sums.rs
@@ -11,7 +11,7 @@
 const REPORT_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Age up to which a sum is used again.
-const SUM_LIFETIME: Duration = Duration::from_millis(40);
+const SUM_LIFETIME: Duration = Duration::from_millis(20);
 
 #[derive(Debug)]
 struct Report {
--- a/crates/steering/src/node.rs
+++ b/crates/steering/src/node.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 
 use metrics::gauge;
-use rand::RngExt;
 use ragwortbeam_base::{clock, telemetry};
+use rand::RngExt;
 use socket2::{Domain, Protocol, Socket, Type};
 use spdlog::{info, warn};
 use tokio::net::{TcpListener, UdpSocket};
@@ -123,6 +123,7 @@
         tokio::spawn(operators::serve_peers(parts.clone(), calls));
         tokio::spawn(operators::serve_metrics(parts, metrics));
         tokio::spawn(steer::run(steering.clone(), adapter.codec, packets));
+        tokio::spawn(steer::watch_openings(steering.clone()));
         tokio::spawn(steer::recount(steering.clone()));
         tokio::spawn(report(steering.clone(), catalog, link.clone()));
         Ok(Self {
@@ -172,8 +173,7 @@
         loop {
             sleep(STOP_POLL).await;
             let now = Moment::now();
-            let quiet_ms =
-                clock::monotonic_ms().saturating_sub(self.steering.last_packet_ms());
+            let quiet_ms = clock::monotonic_ms().saturating_sub(self.steering.last_packet_ms());
             let is_quiet = quiet_ms >= QUIET.as_millis() as u64;
             let is_done = is_quiet && now.since(started_at) >= MIN_STOP;
             if is_done || now >= deadline {
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -103,7 +103,12 @@
         loop {
             if !self.is_due(Moment::now()) {
                 let is_loaded = self.catalog.lock().unwrap().is_loaded();
-                sleep(if is_loaded { ROLE_INTERVAL } else { START_INTERVAL }).await;
+                sleep(if is_loaded {
+                    ROLE_INTERVAL
+                } else {
+                    START_INTERVAL
+                })
+                .await;
                 continue;
             }
             match self.read().await {
--- a/crates/steering/src/reset.rs
+++ b/crates/steering/src/reset.rs
@@ -52,12 +52,9 @@
 
 /// Returns whether an open flow on this endpoint may be reset after the caller repeated
 /// its data in vain.
-pub fn may_reset_open(
-    key: catalog::Key,
-    endpoint: &Endpoint,
-    board: &Board,
-    now: Moment,
-) -> bool {
-    let is_gone = endpoint.gone_for(now).is_some_and(|gone| gone >= GONE_GRACE);
+pub fn may_reset_open(key: catalog::Key, endpoint: &Endpoint, board: &Board, now: Moment) -> bool {
+    let is_gone = endpoint
+        .gone_for(now)
+        .is_some_and(|gone| gone >= GONE_GRACE);
     is_gone && !board.is_alive(key, ALIVE_WINDOW, now)
 }
--- a/crates/steering/src/settings.rs
+++ b/crates/steering/src/settings.rs
@@ -73,7 +73,8 @@
 /// The first fault found.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Fault> {
     let mut deserializer = serde_json::Deserializer::from_str(text);
-    let decoded: Result<document::Settings, _> = serde_path_to_error::deserialize(&mut deserializer);
+    let decoded: Result<document::Settings, _> =
+        serde_path_to_error::deserialize(&mut deserializer);
     let document = decoded.map_err(|error| Fault {
         file: file.to_owned(),
         field: error.path().to_string(),
--- a/crates/steering/src/steer.rs
+++ b/crates/steering/src/steer.rs
@@ -1,5 +1,6 @@
 //! Callers' packets: each is sent on to an endpoint, answered with a reset or dropped.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use derive_more::Display;
@@ -24,6 +25,13 @@
 /// Packets handled before other tasks get a turn.
 const BATCH: usize = 64;
 
+/// Time in which an endpoint's answer to an opening packet brings the caller's next packet:
+/// several round trips. Without one, the answer was lost, was a reset, or never came.
+const OPENING_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Pause between two looks for opening packets without an answer.
+const OPENING_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Pause between two counts of open flows.
 const RECOUNT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -100,6 +108,8 @@
     catalog: Arc<Mutex<Catalog>>,
     board: Arc<Mutex<Board>>,
     flows: Mutex<flow::Table>,
+    /// Opening packets in the order in which they were sent on.
+    openings: Mutex<VecDeque<(Ends, Moment)>>,
     last_packet_ms: AtomicU64,
 }
 
@@ -117,6 +127,7 @@
             catalog,
             board,
             flows: Mutex::default(),
+            openings: Mutex::default(),
             last_packet_ms: AtomicU64::new(0),
         }
     }
@@ -147,6 +158,30 @@
         continue_flow(packet, &catalog, &mut board, &mut flows, now)
     }
 
+    /// Counts opening packets that have no answer after [`OPENING_TIMEOUT`].
+    pub fn note_unanswered(&self, now: Moment) {
+        let catalog = self.catalog.lock().unwrap();
+        let mut board = self.board.lock().unwrap();
+        let mut flows = self.flows.lock().unwrap();
+        let mut openings = self.openings.lock().unwrap();
+        while let Some((ends, opened_at)) = openings.front().copied() {
+            if now.since(opened_at) < OPENING_TIMEOUT {
+                break;
+            }
+            openings.pop_front();
+            let Some(flow) = flows.get_mut(ends) else {
+                continue;
+            };
+            if flow.is_open() || flow.opened_at != opened_at {
+                continue;
+            }
+            flow.is_noted = true;
+            if board.note_unanswered(flow.endpoint, opened_at, now) {
+                log_silent(&catalog, flow.endpoint, now);
+            }
+        }
+    }
+
     /// Counts flows anew and drops what is outdated.
     pub fn recount(&self, now: Moment) {
         let mut catalog = self.catalog.lock().unwrap();
@@ -184,7 +219,10 @@
                 .endpoint(flow.endpoint)
                 .is_some_and(|endpoint| endpoint.takes_flows(now));
             let is_new_copy = packet.acknowledged > flow.copies;
-            if is_new_copy && board.note_unanswered(flow.endpoint, flow.opened_at, now) {
+            if is_new_copy
+                && !flow.is_noted
+                && board.note_unanswered(flow.endpoint, flow.opened_at, now)
+            {
                 log_silent(catalog, flow.endpoint, now);
             }
             let is_alive = board.is_alive(flow.endpoint, now.since(flow.opened_at), now);
@@ -211,6 +249,7 @@
             board.note_retry(key, now);
         }
         log_opened(packet, &wish, catalog, board, key, now);
+        self.openings.lock().unwrap().push_back((ends, now));
         match earlier {
             Some(flow) => flow.reopen(key, packet, now),
             None => {
@@ -328,6 +367,14 @@
     early
 }
 
+/// Looks for opening packets without an answer for the life of the process.
+pub async fn watch_openings(steering: Arc<Steering>) {
+    loop {
+        sleep(OPENING_INTERVAL).await;
+        steering.note_unanswered(Moment::now());
+    }
+}
+
 /// Keeps counts current for the life of the process.
 pub async fn recount(steering: Arc<Steering>) {
     let mut ticks = tokio::time::interval(RECOUNT_INTERVAL);
