--- /dev/null
+++ b/crates/steering/tests/choice.rs
@@ -0,0 +1,263 @@
+//! Choice of endpoints, and what silence and load mean for it.
+
+mod common;
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use common::{HERE, THERE, at, entry, written};
+use ragwortbeam_steering::catalog::{Catalog, Key, Traffic};
+use ragwortbeam_steering::choice::{Wish, choose};
+use ragwortbeam_steering::load::{self, Board};
+use ragwortbeam_steering::message::Load;
+
+fn catalog(endpoints: &[(u64, &str)]) -> Catalog {
+    let mut catalog = Catalog::default();
+    for (id, data_centre) in endpoints {
+        let item = written(*id, *id, entry("ledger", *id as u8, data_centre));
+        catalog.take_item(item, at(0), Duration::ZERO);
+    }
+    catalog
+}
+
+fn key(catalog: &Catalog, id: u64) -> Key {
+    let (key, _) = catalog.endpoints().find(|(_, it)| it.id == id).unwrap();
+    key
+}
+
+fn wish(traffic: Traffic) -> Wish<'static> {
+    Wish {
+        service: "ledger",
+        traffic,
+        data_centre: HERE,
+        avoid: [None, None],
+    }
+}
+
+/// Returns how often each endpoint is chosen in 400 tries that change nothing.
+fn shares(catalog: &Catalog, board: &Board, wish: &Wish<'_>, now: u64) -> HashMap<u64, usize> {
+    let mut shares = HashMap::new();
+    let mut random = rand::rng();
+    for _ in 0..400 {
+        let chosen = choose(wish, catalog, board, at(now), &mut random).unwrap();
+        let id = catalog.endpoint(chosen).unwrap().id;
+        *shares.entry(id).or_default() += 1;
+    }
+    shares
+}
+
+fn loaded(catalog: &Catalog, loads: &[(u64, u32)]) -> Board {
+    let mut board = Board::default();
+    let counts = loads
+        .iter()
+        .map(|(id, busy)| (key(catalog, *id), (0, *busy)))
+        .collect();
+    board.recount(&counts);
+    board
+}
+
+#[test]
+fn load_and_distance_decide() {
+    struct Case {
+        name: &'static str,
+        traffic: Traffic,
+        /// Waiting requests by endpoint; 1 and 2 are here, 3 is there.
+        loads: [(u64, u32); 3],
+        never: &'static [u64],
+    }
+    let cases = [
+        Case {
+            name: "idle endpoints here",
+            traffic: Traffic::NonIdempotent,
+            loads: [(1, 0), (2, 0), (3, 0)],
+            never: &[3],
+        },
+        Case {
+            name: "the less loaded one here",
+            traffic: Traffic::Idempotent,
+            loads: [(1, 4), (2, 0), (3, 0)],
+            never: &[1, 3],
+        },
+        Case {
+            name: "single requests leave full endpoints",
+            traffic: Traffic::NonIdempotent,
+            loads: [(1, 4), (2, 4), (3, 0)],
+            never: &[1, 2],
+        },
+        Case {
+            name: "lasting flows stay longer",
+            traffic: Traffic::Idempotent,
+            loads: [(1, 4), (2, 4), (3, 0)],
+            never: &[3],
+        },
+        Case {
+            name: "large answers stay",
+            traffic: Traffic::Bulk,
+            loads: [(1, 6), (2, 6), (3, 0)],
+            never: &[3],
+        },
+    ];
+    let catalog = catalog(&[(1, HERE), (2, HERE), (3, THERE)]);
+    for case in cases {
+        let board = loaded(&catalog, &case.loads);
+        let shares = shares(&catalog, &board, &wish(case.traffic), 10);
+        for id in case.never {
+            assert!(!shares.contains_key(id), "{}: {shares:?}", case.name);
+        }
+    }
+}
+
+#[test]
+fn vms_with_equal_counts_do_not_all_choose_the_same_endpoint() {
+    let ids: Vec<(u64, &str)> = (1..=10).map(|id| (id, HERE)).collect();
+    let catalog = catalog(&ids);
+    let shares = shares(&catalog, &Board::default(), &wish(Traffic::Idempotent), 10);
+    let most = shares.values().max().unwrap();
+    assert!(*most < 100, "{shares:?}");
+}
+
+#[test]
+fn others_counts_matter_while_they_are_fresh() {
+    let catalog = catalog(&[(1, HERE), (2, HERE)]);
+    let mut board = Board::default();
+    let tag = catalog.endpoint(key(&catalog, 1)).unwrap().tag;
+    let load = Load {
+        tag,
+        busy: 6,
+        ..Load::default()
+    };
+    board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], at(0));
+    let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 100);
+    assert!(!chosen.contains_key(&1), "{chosen:?}");
+    let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 5000);
+    assert!(chosen.contains_key(&1), "{chosen:?}");
+}
+
+#[test]
+fn a_report_of_fewer_vms_replaces_a_recent_one_only_when_that_is_late() {
+    let catalog = catalog(&[(1, HERE)]);
+    let (_, endpoint) = catalog.endpoints().next().unwrap();
+    let load = |busy| {
+        vec![Load {
+            tag: endpoint.tag,
+            busy,
+            ..Load::default()
+        }]
+    };
+    let mut board = Board::default();
+    board.take_report(Ipv4Addr::new(10, 0, 0, 1), 9, &load(9), at(0));
+    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), at(100));
+    assert_eq!(board.reported(endpoint, at(100)).busy, 9);
+    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), at(700));
+    assert_eq!(board.reported(endpoint, at(700)).busy, 1);
+}
+
+#[test]
+fn a_silent_endpoint_is_left_out_and_tried_again() {
+    let catalog = catalog(&[(1, HERE), (2, HERE), (3, HERE)]);
+    let mut board = Board::default();
+    let first = key(&catalog, 1);
+    board.note_unanswered(first, at(0), at(60));
+    assert!(board.note_unanswered(first, at(10), at(70)));
+    let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 100);
+    assert!(!chosen.contains_key(&1), "{chosen:?}");
+    assert!(!board.may_retry(first, at(1000)));
+    assert!(board.may_retry(first, at(1070)));
+    board.note_retry(first, at(1070));
+    assert!(!board.may_retry(first, at(1900)));
+    board.note_alive(first, at(2000));
+    let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 2000);
+    assert!(chosen.contains_key(&1), "{chosen:?}");
+}
+
+#[test]
+fn silence_of_most_endpoints_is_not_taken_as_theirs() {
+    let catalog = catalog(&[(1, HERE), (2, HERE), (3, HERE)]);
+    let mut board = Board::default();
+    for id in [1, 2] {
+        let key = key(&catalog, id);
+        board.note_unanswered(key, at(0), at(60));
+        board.note_unanswered(key, at(0), at(60));
+    }
+    let mut wish = wish(Traffic::Idempotent);
+    wish.avoid = [Some(key(&catalog, 3)), None];
+    let chosen = shares(&catalog, &board, &wish, 100);
+    assert!(
+        chosen.contains_key(&1) && chosen.contains_key(&2),
+        "{chosen:?}"
+    );
+}
+
+#[test]
+fn others_evidence_counts_unless_someone_sees_the_endpoint_alive() {
+    struct Case {
+        name: &'static str,
+        unanswered: u32,
+        silent_ms: u32,
+        is_silent: bool,
+    }
+    let cases = [
+        Case {
+            name: "two packets unanswered elsewhere",
+            unanswered: 2,
+            silent_ms: 900,
+            is_silent: true,
+        },
+        Case {
+            name: "one may be lost",
+            unanswered: 1,
+            silent_ms: 900,
+            is_silent: false,
+        },
+        Case {
+            name: "one VM's bad link",
+            unanswered: 5,
+            silent_ms: 100,
+            is_silent: false,
+        },
+    ];
+    let catalog = catalog(&[(1, HERE), (2, HERE)]);
+    let first = key(&catalog, 1);
+    let endpoint = catalog.endpoint(first).unwrap();
+    for case in cases {
+        let mut board = Board::default();
+        let load = Load {
+            tag: endpoint.tag,
+            unanswered: case.unanswered,
+            silent_ms: case.silent_ms,
+            ..Load::default()
+        };
+        board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], at(0));
+        let is_silent = board.is_silent(first, endpoint, at(10));
+        assert_eq!(is_silent, case.is_silent, "{}", case.name);
+    }
+}
+
+#[test]
+fn sums_add_counts_and_keep_the_latest_sign_of_life() {
+    let load = |busy, silent_ms| Load {
+        tag: 7,
+        open: 1,
+        busy,
+        unanswered: 1,
+        silent_ms,
+    };
+    let sums = load::sum([load(1, 500), load(2, 50)].iter());
+    let sum = sums[&7];
+    assert_eq!((sum.open, sum.busy, sum.unanswered), (2, 3, 2));
+    assert_eq!(sum.silence, Duration::from_millis(50));
+}
+
+#[test]
+fn a_cold_endpoint_gets_less() {
+    let mut catalog = catalog(&[(1, HERE)]);
+    let mut cold = entry("ledger", 2, HERE);
+    cold.warmup_left = Duration::from_secs(2);
+    catalog.take_item(written(2, 2, cold), at(0), Duration::ZERO);
+    let board = Board::default();
+    let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 10);
+    assert!(!chosen.contains_key(&2), "{chosen:?}");
+    let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 2000);
+    assert!(chosen.contains_key(&2), "{chosen:?}");
+}
--- /dev/null
+++ b/crates/steering/tests/common/mod.rs
@@ -0,0 +1,203 @@
+//! What the tests of this crate share: entries, packets and a steering VM.
+
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ragwortbeam_base::clock::Moment;
+use ragwortbeam_steering::catalog::{
+    Catalog, Change, Configuration, Entry, Item, Route, Target, Traffic,
+};
+use ragwortbeam_steering::load::Board;
+use ragwortbeam_steering::packet::{Flags, Packet};
+use ragwortbeam_steering::steer::{Outcome, Steering};
+
+pub const HERE: &str = "dc-a";
+pub const THERE: &str = "dc-b";
+
+/// Moment this many milliseconds after the tests' origin.
+pub fn at(ms: u64) -> Moment {
+    Moment::from_ms(1_000_000 + ms)
+}
+
+pub fn address(last: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, last), port)
+}
+
+pub fn caller(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port)
+}
+
+pub fn entry(service: &str, number: u8, data_centre: &str) -> Entry {
+    Entry {
+        service: service.into(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, number), 8080),
+        data_centre: data_centre.into(),
+        slots: 2,
+        is_draining: false,
+        warmup_left: Duration::ZERO,
+        born_ms: 1000,
+    }
+}
+
+pub fn written(endpoint: u64, revision: u64, entry: Entry) -> Item {
+    Item {
+        endpoint,
+        revision,
+        change: Change::Written(entry),
+    }
+}
+
+pub fn removed(endpoint: u64, revision: u64) -> Item {
+    Item {
+        endpoint,
+        revision,
+        change: Change::Removed,
+    }
+}
+
+pub fn route(address: SocketAddrV4, traffic: Traffic, targets: &[(&str, u32)]) -> Route {
+    let targets = targets.iter().map(|(service, weight)| Target {
+        service: (*service).into(),
+        weight: *weight,
+    });
+    Route {
+        name: address.to_string(),
+        address,
+        traffic,
+        targets: targets.collect(),
+    }
+}
+
+pub fn configuration(version: u64, revision: u64, routes: Vec<Route>) -> Configuration {
+    Configuration {
+        revision,
+        version,
+        flow_idle: Duration::from_secs(15),
+        routes: routes
+            .into_iter()
+            .map(|route| (route.address, route))
+            .collect(),
+    }
+}
+
+pub fn opening(port: u16, destination: SocketAddrV4, copy: u32) -> Packet {
+    Packet {
+        caller: caller(port),
+        destination,
+        flags: Flags {
+            opens: true,
+            ..Flags::default()
+        },
+        token: 0,
+        sequence: 100,
+        acknowledged: copy,
+        data_len: 0,
+    }
+}
+
+pub fn data(
+    port: u16,
+    destination: SocketAddrV4,
+    token: u32,
+    sequence: u32,
+    acknowledged: u32,
+) -> Packet {
+    Packet {
+        caller: caller(port),
+        destination,
+        flags: Flags {
+            acknowledges: true,
+            ..Flags::default()
+        },
+        token,
+        sequence,
+        acknowledged,
+        data_len: 50,
+    }
+}
+
+/// A steering VM with two services and their endpoints, current at `at(0)`.
+pub struct Vm {
+    pub catalog: Arc<Mutex<Catalog>>,
+    pub board: Arc<Mutex<Board>>,
+    pub steering: Steering,
+}
+
+pub const LEDGER: u8 = 1;
+pub const VAULT: u8 = 2;
+
+pub fn ledger() -> SocketAddrV4 {
+    address(LEDGER, 443)
+}
+
+pub fn vault() -> SocketAddrV4 {
+    address(VAULT, 443)
+}
+
+impl Vm {
+    /// Endpoints 1 and 2 serve the ledger here, 3 there; 9 serves the vault.
+    pub fn new() -> Self {
+        let mut catalog = Catalog::default();
+        catalog.take_configuration(configuration(
+            5,
+            2,
+            vec![
+                route(ledger(), Traffic::Idempotent, &[("ledger", 1)]),
+                route(vault(), Traffic::Bulk, &[("vault", 1)]),
+            ],
+        ));
+        let entries = [
+            (1, entry("ledger", 1, HERE)),
+            (2, entry("ledger", 2, HERE)),
+            (3, entry("ledger", 3, THERE)),
+            (9, entry("vault", 9, HERE)),
+        ];
+        for (id, entry) in entries {
+            catalog.take_item(written(id, 2 + id, entry), at(0), Duration::ZERO);
+        }
+        catalog.advance(20, at(0));
+        let catalog = Arc::new(Mutex::new(catalog));
+        let board: Arc<Mutex<Board>> = Arc::default();
+        let steering = Steering::new(
+            HERE,
+            Duration::from_secs(60),
+            catalog.clone(),
+            board.clone(),
+        );
+        Self {
+            catalog,
+            board,
+            steering,
+        }
+    }
+
+    pub fn take(&self, item: Item, now: Moment) {
+        self.take_held(item, now, Duration::ZERO);
+    }
+
+    pub fn take_held(&self, item: Item, now: Moment, hold: Duration) {
+        self.catalog.lock().unwrap().take_item(item, now, hold);
+    }
+
+    pub fn is_current(&self, now: Moment) {
+        self.catalog.lock().unwrap().confirm(now);
+    }
+
+    /// Opens a flow; returns its endpoint and token.
+    pub fn open(&self, port: u16, destination: SocketAddrV4, now: Moment) -> (u64, u32) {
+        forwarded(self.steering.decide(&opening(port, destination, 0), now))
+    }
+}
+
+/// Returns endpoint and token of a packet that was sent on.
+pub fn forwarded(outcome: Outcome) -> (u64, u32) {
+    match outcome {
+        Outcome::Forward {
+            endpoint, token, ..
+        } => (endpoint, token.unwrap_or(0)),
+        other => panic!("expected a packet sent on, found {other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/settings.rs
@@ -0,0 +1,75 @@
+//! Settings: what is accepted and what a fault says.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use expect_test::{Expect, expect};
+use ragwortbeam_steering::settings::parse;
+
+const GOOD: &str = r#"{
+  "vm": "vm-1", "data_centre": "dc-a",
+  "packet_address": "10.1.0.1:8172", "ready_address": "10.1.0.1:8167",
+  "peer_address": "10.1.0.1:7720", "metrics_address": "10.1.0.1:9464",
+  "platform_address": "10.200.1.7:8169",
+  "seeds": ["10.1.0.1:8166", "10.2.0.40:8166"],
+  "is_first_start": true, "endpoint_heartbeat_ms": 1200,
+  "stop_timeout_s": 6, "flow_lifetime_s": 60, "link_mbps": 700.0, "cpu_share": 0.17
+}"#;
+
+#[test]
+fn good_settings_are_taken() {
+    let settings = parse("s.json", GOOD).unwrap();
+    assert_eq!(settings.seeds[1], Ipv4Addr::new(10, 2, 0, 40));
+    assert_eq!(settings.endpoint_heartbeat, Duration::from_millis(1200));
+    assert_eq!(settings.weight, 11_900);
+}
+
+#[test]
+fn a_fault_says_what_was_expected_and_where() {
+    struct Case {
+        from: &'static str,
+        to: &'static str,
+        fault: Expect,
+    }
+    let cases = [
+        Case {
+            from: "10.1.0.1:8172",
+            to: "entry:8172",
+            fault: expect!["s.json: packet_address: expected IPv4:port, found entry:8172"],
+        },
+        Case {
+            from: "10.2.0.40:8166",
+            to: "10.2.0.40:0",
+            fault: expect!["s.json: seeds[1]: expected a port in 1..=65535, found 0"],
+        },
+        Case {
+            from: "\"cpu_share\": 0.17",
+            to: "\"cpu_share\": 0",
+            fault: expect!["s.json: cpu_share: expected a number above 0, found 0"],
+        },
+        Case {
+            from: "\"vm-1\"",
+            to: "\" \"",
+            fault: expect!["s.json: vm: expected a name, found nothing"],
+        },
+        Case {
+            from: "\"stop_timeout_s\": 6",
+            to: "\"stop_timeout_s\": 1e300",
+            fault: expect![
+                "s.json: stop_timeout_s: expected a time, found cannot convert float seconds to Duration: value is either too big or NaN"
+            ],
+        },
+        Case {
+            from: "\"vm\"",
+            to: "\"name\"",
+            fault: expect![
+                "s.json: name: expected a document as docs/OPERATIONS.md describes, found unknown field `name`, expected one of `vm`, `data_centre`, `packet_address`, `ready_address`, `peer_address`, `metrics_address`, `platform_address`, `seeds`, `is_first_start`, `endpoint_heartbeat_ms`, `stop_timeout_s`, `flow_lifetime_s`, `link_mbps`, `cpu_share` at line 2 column 8"
+            ],
+        },
+    ];
+    for case in cases {
+        let text = GOOD.replacen(case.from, case.to, 1);
+        let fault = parse("s.json", &text).unwrap_err();
+        case.fault.assert_eq(&fault.to_string());
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/steering.rs
@@ -0,0 +1,268 @@
+//! Decisions on packets.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    HERE, Vm, address, at, configuration, data, entry, forwarded, ledger, opening, removed, route,
+    vault, written,
+};
+use ragwortbeam_steering::catalog::Traffic;
+use ragwortbeam_steering::reset::Reason;
+use ragwortbeam_steering::steer::{Discard, Outcome};
+
+#[test]
+fn any_vm_steers_an_open_flow_without_a_record() {
+    let (here, there) = (Vm::new(), Vm::new());
+    let (endpoint, token) = here.open(1, ledger(), at(0));
+    let packet = data(1, ledger(), token, 101, 7);
+    assert_eq!(
+        forwarded(there.steering.decide(&packet, at(10))).0,
+        endpoint
+    );
+}
+
+#[test]
+fn a_token_reaches_no_service_that_its_address_has_no_route_to() {
+    let vm = Vm::new();
+    let (_, token) = vm.open(1, ledger(), at(0));
+    struct Case {
+        name: &'static str,
+        token: u32,
+        destination: std::net::SocketAddrV4,
+        expected: Discard,
+    }
+    let cases = [
+        Case {
+            name: "carried to another address",
+            token,
+            destination: vault(),
+            expected: Discard::UnknownToken,
+        },
+        Case {
+            name: "invented",
+            token: 0x1234_5678,
+            destination: ledger(),
+            expected: Discard::UnknownToken,
+        },
+        Case {
+            name: "none",
+            token: 0,
+            destination: ledger(),
+            expected: Discard::NoFlow,
+        },
+    ];
+    for case in cases {
+        let packet = data(2, case.destination, case.token, 101, 7);
+        let outcome = vm.steering.decide(&packet, at(10));
+        assert_eq!(outcome, Outcome::Discard(case.expected), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_new_flow_goes_to_no_endpoint_that_leaves() {
+    let vm = Vm::new();
+    let mut draining = entry("ledger", 1, HERE);
+    draining.is_draining = true;
+    vm.take(written(1, 30, draining), at(5));
+    vm.take(removed(2, 31), at(5));
+    for port in 0..50 {
+        assert_eq!(vm.open(port, ledger(), at(10)).0, 3);
+    }
+    vm.take(removed(3, 32), at(20));
+    let outcome = vm.steering.decide(&opening(99, ledger(), 0), at(30));
+    assert_eq!(outcome, Outcome::Reset(Reason::NoEndpoint));
+}
+
+#[test]
+fn an_open_flow_stays_with_an_endpoint_that_drains_or_lost_its_route_s_service() {
+    let vm = Vm::new();
+    let (endpoint, token) = vm.open(1, ledger(), at(0));
+    let mut draining = entry("ledger", endpoint as u8, HERE);
+    draining.is_draining = true;
+    vm.take(written(endpoint, 30, draining), at(5));
+    let moved = configuration(
+        6,
+        31,
+        vec![route(ledger(), Traffic::Idempotent, &[("vault", 1)])],
+    );
+    vm.catalog.lock().unwrap().take_configuration(moved);
+    let packet = data(1, ledger(), token, 101, 7);
+    assert_eq!(forwarded(vm.steering.decide(&packet, at(10))).0, endpoint);
+    assert_eq!(vm.open(2, ledger(), at(10)).0, 9);
+}
+
+#[test]
+fn a_flow_without_a_route_is_refused_only_by_a_current_catalog() {
+    let vm = Vm::new();
+    let packet = opening(1, address(77, 443), 0);
+    let outcome = vm.steering.decide(&packet, at(100));
+    assert_eq!(outcome, Outcome::Reset(Reason::NoRoute));
+    let outcome = vm.steering.decide(&packet, at(10_000));
+    assert_eq!(outcome, Outcome::Discard(Discard::CatalogOutdated));
+    vm.is_current(at(10_000));
+    let outcome = vm.steering.decide(&packet, at(10_001));
+    assert_eq!(outcome, Outcome::Reset(Reason::NoRoute));
+}
+
+#[test]
+fn a_copy_of_an_opening_packet_goes_elsewhere_when_the_first_was_not_answered() {
+    let vm = Vm::new();
+    let (first, _) = vm.open(1, ledger(), at(0));
+    // The network may double a packet; that is no copy.
+    let doubled = vm.steering.decide(&opening(1, ledger(), 0), at(1));
+    assert_eq!(forwarded(doubled).0, first);
+    let copy = vm.steering.decide(&opening(1, ledger(), 1), at(200));
+    assert_ne!(forwarded(copy).0, first);
+}
+
+#[test]
+fn a_copy_goes_to_the_same_endpoint_when_that_answers_others() {
+    let vm = Vm::new();
+    let (first, _) = vm.open(1, ledger(), at(0));
+    let mut port = 1;
+    // Another flow on the same endpoint goes on.
+    let token = loop {
+        port += 1;
+        let (endpoint, token) = vm.open(port, ledger(), at(1));
+        if endpoint == first {
+            break token;
+        }
+    };
+    vm.steering
+        .decide(&data(port, ledger(), token, 101, 7), at(20));
+    let copy = vm.steering.decide(&opening(1, ledger(), 1), at(200));
+    assert_eq!(forwarded(copy).0, first);
+}
+
+#[test]
+fn an_endpoint_that_answers_no_opening_packet_gets_no_more() {
+    let vm = Vm::new();
+    vm.take(removed(2, 30), at(0));
+    // Flows are refused by resets that this VM does not see: no copy follows.
+    let mut now = 0;
+    let mut to_first = 0;
+    for port in 0..40 {
+        now += 10;
+        let (endpoint, token) = vm.open(port, ledger(), at(now));
+        if endpoint == 3 {
+            vm.steering
+                .decide(&data(port, ledger(), token, 101, 7), at(now));
+        } else {
+            to_first += 1;
+        }
+        vm.steering.note_unanswered(at(now + 5));
+    }
+    assert!(to_first <= 8, "{to_first} flows went to a dead endpoint");
+}
+
+#[test]
+fn an_open_flow_is_reset_only_when_its_endpoint_is_gone() {
+    struct Case {
+        name: &'static str,
+        /// Removal of the entry and its hold.
+        removal: Option<(u64, u64)>,
+        /// Time at which another flow shows the endpoint alive.
+        alive: Option<u64>,
+        /// Whether the packet's data was sent before.
+        is_repeated: bool,
+        now: u64,
+        is_reset: bool,
+    }
+    let gone = Case {
+        name: "gone, and data repeated",
+        removal: Some((100, 0)),
+        alive: None,
+        is_repeated: true,
+        now: 3000,
+        is_reset: true,
+    };
+    let cases = [
+        Case {
+            name: "not removed",
+            removal: None,
+            is_reset: false,
+            ..gone
+        },
+        Case {
+            name: "removed a moment ago",
+            removal: Some((1000, 0)),
+            is_reset: false,
+            ..gone
+        },
+        Case {
+            name: "lapsed while the store was away",
+            removal: Some((100, 2200)),
+            is_reset: false,
+            ..gone
+        },
+        Case {
+            name: "alive",
+            alive: Some(2500),
+            is_reset: false,
+            ..gone
+        },
+        Case {
+            name: "new data",
+            is_repeated: false,
+            is_reset: false,
+            ..gone
+        },
+        gone,
+    ];
+    for case in cases {
+        let vm = Vm::new();
+        let (endpoint, token) = vm.open(1, ledger(), at(0));
+        let sent = data(1, ledger(), token, 101, 7);
+        vm.steering.decide(&sent, at(10));
+        if let Some((removed_at, hold_ms)) = case.removal {
+            let hold = Duration::from_millis(hold_ms);
+            vm.take_held(removed(endpoint, 40), at(removed_at), hold);
+        }
+        if let Some(alive) = case.alive {
+            vm.steering
+                .decide(&data(2, ledger(), token, 101, 7), at(alive));
+        }
+        let next = if case.is_repeated {
+            sent
+        } else {
+            data(1, ledger(), token, 151, 7)
+        };
+        let outcome = vm.steering.decide(&next, at(case.now));
+        let is_reset = outcome == Outcome::Reset(Reason::EndpointGone);
+        assert_eq!(is_reset, case.is_reset, "{}: {outcome:?}", case.name);
+    }
+}
+
+#[test]
+fn counts_follow_flows_and_end_with_them() {
+    let vm = Vm::new();
+    let (endpoint, token) = vm.open(1, ledger(), at(0));
+    let key = {
+        let catalog = vm.catalog.lock().unwrap();
+        let (key, _) = catalog
+            .endpoints()
+            .find(|(_, it)| it.id == endpoint)
+            .unwrap();
+        key
+    };
+    let own = |ms| {
+        vm.steering.recount(at(ms));
+        let own = vm.board.lock().unwrap().own(key);
+        (own.open, own.busy)
+    };
+    assert_eq!(own(1), (1, 1));
+    vm.steering
+        .decide(&data(1, ledger(), token, 101, 7), at(10));
+    assert_eq!(own(20), (1, 1));
+    // The caller acknowledges the answer.
+    let mut answered = data(1, ledger(), token, 151, 2000);
+    answered.data_len = 0;
+    vm.steering.decide(&answered, at(60));
+    assert_eq!(own(70), (1, 0));
+    let mut finished = answered;
+    finished.flags.finishes = true;
+    vm.steering.decide(&finished, at(80));
+    assert_eq!(own(90), (0, 0));
+}
