--- a/crates/base/tests/client.rs
+++ b/crates/base/tests/client.rs
@@ -18,7 +18,9 @@
         tokio::spawn(async move {
             let mut request = [0; 1024];
             for answer in script {
-                stream.read(&mut request).await.unwrap();
+                if stream.read(&mut request).await.unwrap() == 0 {
+                    return;
+                }
                 if answer.is_empty() {
                     return;
                 }
--- a/crates/steering/tests/steering.rs
+++ b/crates/steering/tests/steering.rs
@@ -221,8 +221,11 @@
             vm.take_held(removed(endpoint, 40), at(removed_at), hold);
         }
         if let Some(alive) = case.alive {
-            vm.steering
-                .decide(&data(2, ledger(), token, 101, 7), at(alive));
+            // The other flow's acknowledgements advance.
+            for acknowledged in [7, 8] {
+                let packet = data(2, ledger(), token, 101, acknowledged);
+                vm.steering.decide(&packet, at(alive));
+            }
         }
         let next = if case.is_repeated {
             sent
