A seeded soak of steering VMs as processes

Change: testbed soak starts the real program on loopback against stand-ins for store, rotation, endpoints and callers, a proxy to the store a VM, signals, and bursts of overlapping faults and changes by seed; five promises are checked while it runs. Cuts between VMs and false clocks are not covered: peers address each other by IP, and a process gets no clock of its own without privileges.

--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -48,7 +48,7 @@
 
 /// Time for which a starting VM waits for neighbours to bring the catalog: a few round
 /// trips, as callers wait too.
-const START_PATIENCE: Duration = Duration::from_millis(15);
+const START_PATIENCE: Duration = Duration::from_millis(30);
 
 /// The same when a neighbour has answered: it has the catalog or reads it.
 const COMPANY_PATIENCE: Duration = Duration::from_millis(60);
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -110,7 +110,7 @@
             .args(["node", "--settings"])
             .arg(&path)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod network;
 pub mod platform;
 pub mod server;
+pub mod soak;
 pub mod spread;
 pub mod throughput;
 pub mod world;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use ragwortbeam_testbed::{capacity, crest, demo, faults, spread, throughput};
+use ragwortbeam_testbed::{capacity, crest, demo, faults, soak, spread, throughput};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
 
@@ -30,6 +30,7 @@
     Spread(Spread),
     Crest(Crest),
     Relay(Relay),
+    Soak(Soak),
 }
 
 /// Run a small data centre under work and change for about 20 s.
@@ -92,9 +93,32 @@
     target: std::net::SocketAddr,
 }
 
+/// Break steering VMs in random ways and check the platform's promises.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct Soak {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// bursts of faults for each seed
+    #[argh(option, default = "2")]
+    bursts: usize,
+    /// number of VMs, up to 200
+    #[argh(option, default = "6")]
+    vms: u8,
+    /// number of callers, up to 200
+    #[argh(option, default = "12")]
+    callers: u8,
+}
+
 fn main() -> ExitCode {
-    if std::env::args().nth(1).as_deref() == Some("node") {
-        return run_node();
+    match std::env::args().nth(1).as_deref() {
+        Some("node") => return run_product("serve"),
+        Some("steering-node") => return run_product("steer"),
+        _ => {}
     }
     let arguments: Arguments = argh::from_env();
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
@@ -107,6 +131,15 @@
         Command::Throughput(_) => runtime.block_on(throughput::run()),
         Command::Spread(spread) => runtime.block_on(spread::run(spread.vms)),
         Command::Crest(crest) => runtime.block_on(crest::run(&crest.policy)),
+        Command::Soak(soak) => {
+            let options = soak::Options {
+                seed: soak.seed,
+                bursts: soak.bursts,
+                vms: soak.vms,
+                callers: soak.callers,
+            };
+            runtime.block_on(soak::run_seeds(&options, soak.seeds))
+        }
         Command::Relay(relay) => runtime.block_on(throughput::relay(relay.target)),
         Command::Faults(faults) => runtime.block_on(faults::run(&faults::Options {
             seeds: faults.seeds,
@@ -125,10 +158,10 @@
     }
 }
 
-/// Runs the product's `serve` command in a process that the testbed has started.
-fn run_node() -> ExitCode {
+/// Runs a command of the product in a process that the testbed has started.
+fn run_product(command: &str) -> ExitCode {
     let mut words: Vec<String> = std::env::args().skip(1).collect();
-    "serve".clone_into(&mut words[0]);
+    command.clone_into(&mut words[0]);
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match ragwortbeam::commands::Arguments::from_args(&["ragwortbeam"], &words) {
         Ok(arguments) => ragwortbeam::commands::run(arguments),
