--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -1,6 +1,5 @@
 //! HTTP/1.1 client that keeps one connection to one server.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -55,15 +54,15 @@
 /// dropped after any failure, since a connection that lost an answer may stay silent.
 #[derive(Debug)]
 pub struct Client {
-    server: SocketAddr,
+    server: String,
     connection: Mutex<Option<Sender>>,
 }
 
 impl Client {
-    /// Returns a client that connects when it is first used.
-    pub fn new(server: SocketAddr) -> Self {
+    /// Returns a client of `server`, a host and port, that connects when it is first used.
+    pub fn new(server: impl ToString) -> Self {
         Self {
-            server,
+            server: server.to_string(),
             connection: Mutex::new(None),
         }
     }
@@ -95,7 +94,7 @@
         };
         sender.ready().await?;
         let request = Request::get(path)
-            .header(HOST, self.server.to_string())
+            .header(HOST, &self.server)
             .body(Empty::new())?;
         let response = sender.send_request(request).await?;
         let status = response.status();
@@ -108,7 +107,7 @@
     }
 
     async fn connect(&self) -> Result<Sender, Failure> {
-        let stream = TcpStream::connect(self.server).await?;
+        let stream = TcpStream::connect(&self.server).await?;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
--- a/crates/ragwortbeam/src/commands/status.rs
+++ b/crates/ragwortbeam/src/commands/status.rs
@@ -1,5 +1,6 @@
 //! `ragwortbeam status`.
 
+use ragwortbeam_base::http::Client;
 use tokio::runtime::Runtime;
 
 use super::{EXIT_FAILED, EXIT_OK, EXIT_WRONG, Status};
@@ -45,13 +46,14 @@
 }
 
 async fn fetch(address: &str) -> Result<Report> {
-    let response = reqwest::Client::new()
-        .get(format!("http://{address}/status"))
-        .timeout(TIMEOUT)
-        .send()
+    let answer = Client::new(address)
+        .get("/status", TIMEOUT)
         .await
         .map_err(Error::admin)?;
-    response.json().await.map_err(Error::admin)
+    if !answer.status.is_success() {
+        return Err(Error::admin(format!("status {}", answer.status)));
+    }
+    serde_json::from_slice(&answer.body).map_err(Error::admin)
 }
 
 fn header() -> String {
--- a/crates/ragwortbeam/src/platform/http.rs
+++ b/crates/ragwortbeam/src/platform/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reqwest::{Client, StatusCode};
+use ragwortbeam_base::http::Client;
 use serde::de::DeserializeOwned;
 
 use super::{Platform, Reply};
@@ -12,54 +12,72 @@
 /// Time allowed for a read beyond what it asks the platform to wait.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Platform reached at a base URL.
+/// Status of an answer whose document is no longer kept.
+const GONE: u16 = 410;
+
+/// Platform reached at a base URL; each kind of document has a connection of its own, so
+/// that a waiting read holds up no other.
 #[derive(Debug)]
 pub struct Http {
-    base: String,
-    client: Client,
+    path: String,
+    snapshot: Client,
+    notes: Client,
+    vms: Client,
 }
 
 impl Http {
-    /// Returns a client for the platform at `base`, without a trailing slash.
+    /// Returns a client for the platform at `base`, an `http://` URL without a trailing
+    /// slash.
     pub fn new(base: &str) -> Self {
+        let rest = base.strip_prefix("http://").unwrap_or(base);
+        let (server, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
         Self {
-            base: base.to_owned(),
-            client: Client::new(),
+            path: path.to_owned(),
+            snapshot: Client::new(server),
+            notes: Client::new(server),
+            vms: Client::new(server),
         }
     }
 
-    async fn get<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<Option<T>> {
-        let response = self
-            .client
-            .get(format!("{}{path}", self.base))
-            .timeout(wait + READ_TIMEOUT)
-            .send()
+    async fn get<T: DeserializeOwned>(
+        &self,
+        client: &Client,
+        path: &str,
+        wait: Duration,
+    ) -> Result<Option<T>> {
+        let path = format!("{}{path}", self.path);
+        let answer = client
+            .get(&path, wait + READ_TIMEOUT)
             .await
             .map_err(Error::platform)?;
-        if response.status() == StatusCode::GONE {
+        if answer.status == GONE {
             return Ok(None);
         }
-        let response = response.error_for_status().map_err(Error::platform)?;
-        response.json().await.map(Some).map_err(Error::platform)
+        if !answer.status.is_success() {
+            return Err(Error::platform(format!("{path}: status {}", answer.status)));
+        }
+        serde_json::from_slice(&answer.body)
+            .map(Some)
+            .map_err(Error::platform)
     }
 
-    async fn get_present<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
-        let answer = self.get(path, Duration::ZERO).await?;
+    async fn get_present<T: DeserializeOwned>(&self, client: &Client, path: &str) -> Result<T> {
+        let answer = self.get(client, path, Duration::ZERO).await?;
         answer.ok_or_else(|| Error::platform(format!("{path} is gone")))
     }
 }
 
 impl Platform for Http {
     fn snapshot(&self) -> Reply<'_, document::Snapshot> {
-        Box::pin(self.get_present("/v1/snapshot"))
+        Box::pin(self.get_present(&self.snapshot, "/v1/snapshot"))
     }
 
     fn notes(&self, after: u64, wait: Duration) -> Reply<'_, Option<document::Notes>> {
         let path = format!("/v1/notes?after={after}&wait_ms={}", wait.as_millis());
-        Box::pin(async move { self.get(&path, wait).await })
+        Box::pin(async move { self.get(&self.notes, &path, wait).await })
     }
 
     fn vms(&self) -> Reply<'_, document::VmList> {
-        Box::pin(self.get_present("/v1/vms"))
+        Box::pin(self.get_present(&self.vms, "/v1/vms"))
     }
 }
--- a/crates/ragwortbeam/src/settings/check.rs
+++ b/crates/ragwortbeam/src/settings/check.rs
@@ -21,7 +21,7 @@
     serde_path_to_error::deserialize(&mut deserializer).map_err(|error| Fault {
         file: file.to_owned(),
         field: error.path().to_string(),
-        expected: "a document as docs/OPERATORS.md describes".to_owned(),
+        expected: "a document as docs/OPERATIONS.md describes".to_owned(),
         found: error.inner().to_string(),
     })
 }
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -157,10 +157,10 @@
             (Change::Written(entry), Some(key))
                 if self.endpoints[key].entry.born_ms == entry.born_ms =>
             {
-                self.update(key, entry, item.revision, now);
+                self.update(key, entry, item.revision, None, now);
             }
             (Change::Written(entry), _) => {
-                self.insert(item.endpoint, entry, item.revision, now);
+                self.insert(item.endpoint, entry, item.revision, None, now);
             }
             (Change::Removed, Some(key)) => {
                 let endpoint = &mut self.endpoints[key];
@@ -181,17 +181,14 @@
 
     /// Takes a whole endpoint as another VM holds it.
     pub fn take_endpoint(&mut self, endpoint: Endpoint, now: Moment) -> bool {
-        let removal = endpoint.removal;
-        let item = Item {
-            endpoint: endpoint.id,
-            revision: endpoint.revision,
-            change: Change::Written(endpoint.entry),
-        };
-        if !self.take_item(item, now, Duration::ZERO) {
+        let held = self.by_id.get(&endpoint.id).copied();
+        if held.is_some_and(|key| endpoint.revision <= self.endpoints[key].revision) {
             return false;
         }
-        if let Some(key) = self.by_id.get(&endpoint.id) {
-            self.endpoints[*key].removal = removal;
+        let (entry, revision, removal) = (endpoint.entry, endpoint.revision, endpoint.removal);
+        match held.filter(|key| self.endpoints[*key].entry.born_ms == entry.born_ms) {
+            Some(key) => self.update(key, entry, revision, removal, now),
+            None => self.insert(endpoint.id, entry, revision, removal, now),
         }
         true
     }
@@ -247,16 +244,33 @@
         dropped
     }
 
-    fn update(&mut self, key: Key, entry: Entry, revision: u64, now: Moment) {
+    fn update(
+        &mut self,
+        key: Key,
+        entry: Entry,
+        revision: u64,
+        removal: Option<Removal>,
+        now: Moment,
+    ) {
         let endpoint = &mut self.endpoints[key];
         endpoint.warm_at = now + entry.warmup_left;
         endpoint.entry = entry;
         endpoint.revision = revision;
-        endpoint.removal = None;
-        log_endpoint("endpoint_changed", endpoint, Duration::ZERO);
+        endpoint.removal = removal;
+        match removal {
+            Some(removal) => log_endpoint("endpoint_removed", endpoint, removal.hold),
+            None => log_endpoint("endpoint_changed", endpoint, Duration::ZERO),
+        }
     }
 
-    fn insert(&mut self, id: u64, entry: Entry, revision: u64, now: Moment) {
+    fn insert(
+        &mut self,
+        id: u64,
+        entry: Entry,
+        revision: u64,
+        removal: Option<Removal>,
+        now: Moment,
+    ) {
         if let Some(earlier) = self.by_id.get(&id) {
             let hold = Duration::ZERO;
             self.endpoints[*earlier].removal = Some(Removal { at: now, hold });
@@ -268,7 +282,7 @@
             entry,
             revision,
             tag,
-            removal: None,
+            removal,
         };
         log_endpoint("endpoint_added", &endpoint, Duration::ZERO);
         let key = self.endpoints.insert(endpoint);
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -328,7 +328,7 @@
 pub async fn pull(link: &Arc<Link>, ip: Ipv4Addr) -> Result<()> {
     let revision = link.catalog.lock().unwrap().revision();
     let context = || format!("catalog of {ip}");
-    let client = http::Client::new(SocketAddr::from((ip, link.port)));
+    let client = http::Client::new(format!("{ip}:{}", link.port));
     let answer = client
         .get(&format!("/catalog?after={revision}"), PULL_TIMEOUT)
         .await
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -4,9 +4,7 @@
 //! reads itself, the later the further back it stands in the order of readers, so a reader
 //! that died, froze or lost its path is replaced without an agreement.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-
-use metrics::counter;
+use metrics::{counter, histogram};
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
@@ -74,7 +72,6 @@
     is_first_start: bool,
     returned_at: Option<Moment>,
     stands_in_until: Moment,
-    calls: Arc<AtomicU64>,
 }
 
 impl Reader {
@@ -93,7 +90,6 @@
             is_first_start: settings.is_first_start,
             returned_at: None,
             stands_in_until: Moment::default(),
-            calls: Arc::default(),
         }
     }
 
@@ -169,9 +165,9 @@
             let catalog = self.catalog.lock().unwrap();
             (catalog.revision(), catalog.is_loaded())
         };
-        self.calls.fetch_add(1, Ordering::Relaxed);
         if is_loaded {
             let sent_at = Moment::now();
+            counter!("ragwortbeam_store_reads_total", "kind" => "changes").increment(1);
             let changes = self.publisher.changes(revision, WATCH_WAIT).await?;
             if let Some(changes) = changes {
                 self.take(changes, None, sent_at);
@@ -180,7 +176,9 @@
             info!("event=store_history_gone revision={revision}");
         }
         let sent_at = Moment::now();
+        counter!("ragwortbeam_store_reads_total", "kind" => "all").increment(1);
         let publication = self.publisher.read_all().await?;
+        histogram!("ragwortbeam_store_read_seconds").record(Moment::now().since(sent_at));
         let present = publication.items.iter().map(|item| item.endpoint).collect();
         self.take(publication, Some(present), sent_at);
         Ok(())
