--- a/crates/steering/src/load.rs
+++ b/crates/steering/src/load.rs
@@ -198,27 +198,30 @@
         loads.collect()
     }
 
-    /// Takes a hub's sum over other VMs, unless one from a hub that knows more is recent.
+    /// Takes a hub's sum over `contributors` other VMs, unless one from a hub that knows
+    /// more is recent. Endpoints that a partial one lacks keep what is held of them.
     pub fn take_report(
         &mut self,
         hub: Ipv4Addr,
         contributors: u32,
         loads: &[message::Load],
+        is_partial: bool,
         now: Moment,
     ) {
-        let held = &self.report;
+        let held = &mut self.report;
         let is_better = held.hub == Some(hub)
             || contributors > held.contributors
             || now.since(held.at) > REPORT_INTERVAL;
         if !is_better {
             return;
         }
-        self.report = Report {
-            hub: Some(hub),
-            contributors,
-            at: now,
-            by_tag: sum(loads.iter()),
-        };
+        held.hub = Some(hub);
+        held.contributors = contributors;
+        held.at = now;
+        if !is_partial {
+            held.by_tag.clear();
+        }
+        held.by_tag.extend(sum(loads.iter()));
     }
 
     fn entry(&mut self, key: Key) -> Option<&mut Own> {
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -36,6 +36,10 @@
 /// able to take over.
 const STANDBY_EVERY: u64 = 4;
 
+/// Loads of other data centres' endpoints are asked for in each this many heartbeats: only
+/// flows that leave a full data centre need them.
+const WHOLE_EVERY: u64 = 8;
+
 /// Heartbeats between hubs of different data centres, each this many of the others.
 const FOREIGN_EVERY: u64 = 5;
 
@@ -55,6 +59,22 @@
 /// Pause after a failed reading from another VM.
 const PULL_PAUSE: Duration = Duration::from_millis(100);
 
+/// What a heartbeat asks for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Asks {
+    /// Members.
+    members: bool,
+    /// Loads of all data centres.
+    whole: bool,
+}
+
+impl Asks {
+    const MEMBERS: Self = Self {
+        members: true,
+        whole: false,
+    };
+}
+
 /// One VM's side of the mesh.
 pub struct Link {
     socket: UdpSocket,
@@ -122,7 +142,7 @@
         let now = Moment::now();
         self.members.lock().unwrap().leave();
         let hubs = self.members.lock().unwrap().hubs(HUBS, now);
-        self.send_beat(&hubs, true, now);
+        self.send_beat(&hubs, Asks::default(), now);
     }
 
     /// Answers a reading by another VM whose catalog includes `revision`.
@@ -164,7 +184,7 @@
     }
 
     /// Sends a heartbeat with this VM's load.
-    fn send_beat(&self, receivers: &[Ipv4Addr], wants_members: bool, now: Moment) {
+    fn send_beat(&self, receivers: &[Ipv4Addr], asks: Asks, now: Moment) {
         if receivers.is_empty() {
             return;
         }
@@ -174,7 +194,8 @@
         };
         let frame = self.frame(
             frame::Body::Beat(Beat {
-                wants_members,
+                wants_members: asks.members,
+                wants_whole: asks.whole,
                 loads,
             }),
             now,
@@ -193,7 +214,7 @@
         let me = self.members.lock().unwrap().ip();
         sums.take_local(me, board.own_message(&catalog, now), now);
         let (loads, contributors) = sums.without(me, now);
-        board.take_report(me, contributors, &loads, now);
+        board.take_report(me, contributors, &loads, false, now);
     }
 
     fn handle(self: &Arc<Self>, frame: Frame, now: Moment) {
@@ -219,7 +240,7 @@
     }
 
     fn answer(&self, ip: Ipv4Addr, is_near: bool, beat: Beat, now: Moment) {
-        let (loads, contributors) = {
+        let (mut loads, contributors) = {
             let mut sums = self.sums.lock().unwrap();
             if is_near {
                 sums.take_local(ip, beat.loads, now);
@@ -228,6 +249,10 @@
                 sums.local(now)
             }
         };
+        let is_partial = is_near && !beat.wants_whole;
+        if is_partial {
+            self.leave_out_foreign(&mut loads);
+        }
         let members = if beat.wants_members {
             self.members.lock().unwrap().messages(now)
         } else {
@@ -237,12 +262,24 @@
             loads,
             contributors,
             members,
+            is_partial,
             ..Digest::default()
         };
         let frame = self.frame(frame::Body::Digest(digest), now);
         self.send(ip, &frame);
     }
 
+    /// Leaves out loads of endpoints in other data centres.
+    fn leave_out_foreign(&self, loads: &mut Vec<message::Load>) {
+        let catalog = self.catalog.lock().unwrap();
+        let data_centre = self.members.lock().unwrap().data_centre().clone();
+        loads.retain(|load| {
+            let key = catalog.by_tag(load.tag);
+            key.and_then(|key| catalog.endpoint(key))
+                .is_some_and(|endpoint| endpoint.entry.data_centre == data_centre)
+        });
+    }
+
     fn take_digest(
         &self,
         ip: Ipv4Addr,
@@ -261,7 +298,8 @@
         }
         if is_near {
             let mut board = self.board.lock().unwrap();
-            board.take_report(ip, digest.contributors, &digest.loads, now);
+            let (loads, is_partial) = (&digest.loads, digest.is_partial);
+            board.take_report(ip, digest.contributors, loads, is_partial, now);
         } else {
             let mut sums = self.sums.lock().unwrap();
             sums.take_foreign(data_centre.into(), digest.contributors, digest.loads, now);
@@ -389,20 +427,23 @@
                 members.rank(now),
             )
         };
-        let wants_members = count.is_multiple_of(MEMBERS_EVERY) || !has_company;
-        let is_standby_due = wants_members || count.is_multiple_of(STANDBY_EVERY);
+        let asks = Asks {
+            members: count.is_multiple_of(MEMBERS_EVERY) || !has_company,
+            whole: count.is_multiple_of(WHOLE_EVERY),
+        };
+        let is_standby_due = asks.members || count.is_multiple_of(STANDBY_EVERY);
         let hub_count = if is_standby_due { HUBS } else { 1 };
         let hubs = link.members.lock().unwrap().hubs(hub_count, now);
-        link.send_beat(&hubs, wants_members, now);
+        link.send_beat(&hubs, asks, now);
         if rank < HUBS && count.is_multiple_of(FOREIGN_EVERY) {
             let hubs = link.members.lock().unwrap().foreign_hubs(now);
-            link.send_beat(&hubs, wants_members, now);
+            link.send_beat(&hubs, asks, now);
         }
         if !has_company {
             let me = link.members.lock().unwrap().ip();
             let mut seeds = link.seeds.lock().unwrap().clone();
             seeds.retain(|seed| *seed != me);
-            link.send_beat(&seeds, true, now);
+            link.send_beat(&seeds, Asks::MEMBERS, now);
         } else if rank < HUBS && count.is_multiple_of(PROBE_EVERY) {
             probe(&link, count, now);
         }
@@ -425,5 +466,5 @@
         lost.rotate_left(turn);
         lost.truncate(MAX_PROBES);
     }
-    link.send_beat(&lost, true, now);
+    link.send_beat(&lost, Asks::MEMBERS, now);
 }
--- a/crates/steering/tests/choice.rs
+++ b/crates/steering/tests/choice.rs
@@ -127,7 +127,7 @@
         busy: 6,
         ..Load::default()
     };
-    board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], at(0));
+    board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], false, at(0));
     let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 100);
     assert!(!chosen.contains_key(&1), "{chosen:?}");
     let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 5000);
@@ -146,10 +146,10 @@
         }]
     };
     let mut board = Board::default();
-    board.take_report(Ipv4Addr::new(10, 0, 0, 1), 9, &load(9), at(0));
-    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), at(100));
+    board.take_report(Ipv4Addr::new(10, 0, 0, 1), 9, &load(9), false, at(0));
+    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), false, at(100));
     assert_eq!(board.reported(endpoint, at(100)).busy, 9);
-    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), at(700));
+    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), false, at(700));
     assert_eq!(board.reported(endpoint, at(700)).busy, 1);
 }
 
@@ -228,7 +228,7 @@
             silent_ms: case.silent_ms,
             ..Load::default()
         };
-        board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], at(0));
+        board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], false, at(0));
         let is_silent = board.is_silent(first, endpoint, at(10));
         assert_eq!(is_silent, case.is_silent, "{}", case.name);
     }
@@ -261,3 +261,22 @@
     let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 2000);
     assert!(chosen.contains_key(&2), "{chosen:?}");
 }
+
+#[test]
+fn a_partial_report_keeps_what_it_does_not_cover() {
+    let catalog = catalog(&[(1, HERE), (2, THERE)]);
+    let endpoint = |id| catalog.endpoint(key(&catalog, id)).unwrap();
+    let load = |id, busy| Load {
+        tag: endpoint(id).tag,
+        busy,
+        ..Load::default()
+    };
+    let hub = Ipv4Addr::LOCALHOST;
+    let mut board = Board::default();
+    board.take_report(hub, 3, &[load(1, 5), load(2, 6)], false, at(0));
+    board.take_report(hub, 3, &[load(1, 1)], true, at(50));
+    let busy = |board: &Board, id| board.reported(endpoint(id), at(60)).busy;
+    assert_eq!((busy(&board, 1), busy(&board, 2)), (1, 6));
+    board.take_report(hub, 3, &[load(1, 2)], false, at(100));
+    assert_eq!((busy(&board, 1), busy(&board, 2)), (2, 0));
+}
