Stand-ins of the platform's wire formats stand in platform/; one Fault; dead parts go

Cause: reading as a newcomer: the soak spelled the platform's field names outside platform/; Fault and the JSON decoder stood twice; the endpoints' heartbeat setting, a field of flows and an accessor had no reader; reasons had two names each.

Change: platform/standin holds packets and bodies as the other side writes them; ragwortbeam_base::document; the rest is removed.

--- a/crates/ragwortbeam/src/settings/check.rs
+++ b/crates/ragwortbeam/src/settings/check.rs
@@ -5,8 +5,6 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use serde::de::DeserializeOwned;
-
 use crate::dispatch::choice;
 
 use super::{Fault, Limits, Settings, document};
@@ -15,17 +13,6 @@
 const MAX_STOP_TIMEOUT_MS: u32 = 600_000;
 const MAX_FLOW_IDLE_MS: u32 = 86_400_000;
 
-/// Decodes JSON; a fault names the field's path.
-pub fn decode<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Fault> {
-    let mut deserializer = serde_json::Deserializer::from_str(text);
-    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| Fault {
-        file: file.to_owned(),
-        field: error.path().to_string(),
-        expected: "a document as docs/OPERATIONS.md describes".to_owned(),
-        found: error.inner().to_string(),
-    })
-}
-
 /// Checks a whole settings document.
 pub fn settings(file: &str, document: document::Settings) -> Result<Settings, Fault> {
     let check = Check { file };
--- a/crates/ragwortbeam/src/settings/mod.rs
+++ b/crates/ragwortbeam/src/settings/mod.rs
@@ -6,27 +6,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use derive_more::Display;
-
 use crate::errors::{Error, Result};
 use crate::generated::ragwortbeam::settings::v1 as document;
 
-pub use check::decode;
-
-/// What is wrong with a settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Display)]
-#[display("{file}: {field}: expected {expected}, found {found}")]
-pub struct Fault {
-    /// Path of the file.
-    pub file: String,
-    /// Path of the field within the file.
-    pub field: String,
-    /// What the field has to be.
-    pub expected: String,
-    /// What it is.
-    pub found: String,
-}
+pub use ragwortbeam_base::document::{Fault, decode};
 
 /// Checked settings.
 #[derive(Clone, Debug)]
@@ -104,6 +87,6 @@
 ///
 /// The first fault found.
 pub fn parse(file: &str, text: &str) -> std::result::Result<Settings, Fault> {
-    let document = check::decode::<document::Settings>(file, text)?;
+    let document = decode::<document::Settings>(file, text)?;
     check::settings(file, document)
 }
--- a/crates/steering/src/flow.rs
+++ b/crates/steering/src/flow.rs
@@ -58,8 +58,6 @@
     pub copies: u32,
     /// Time of the last opening packet, or of the first packet seen.
     pub opened_at: Moment,
-    /// Time of the last packet with new data or a new acknowledgement.
-    pub advanced_at: Moment,
     /// True when it is counted that the last opening packet has no answer.
     pub is_noted: bool,
     seen_at: Moment,
@@ -79,7 +77,6 @@
             traffic,
             copies: packet.acknowledged,
             opened_at: now,
-            advanced_at: now,
             is_noted: false,
             seen_at: now,
             is_open: false,
@@ -137,9 +134,6 @@
             self.next_sequence = end;
             self.waiting_since = Some(now);
         }
-        if is_acknowledging || is_new_data {
-            self.advanced_at = now;
-        }
         if packet.flags.finishes || packet.flags.resets {
             self.is_finished = true;
         }
--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -97,11 +97,6 @@
         }
     }
 
-    /// Returns a member.
-    pub fn get(&self, ip: Ipv4Addr) -> Option<&Member> {
-        self.others.get(&ip)
-    }
-
     /// Takes a sign of life that came from the VM itself.
     pub fn heard(&mut self, member: &message::Member, now: Moment) {
         self.take(member, now);
--- a/crates/steering/src/reset.rs
+++ b/crates/steering/src/reset.rs
@@ -3,8 +3,6 @@
 //! A reset of an open flow whose endpoint lives breaks work in progress, so every doubt
 //! ends in silence: the caller sends its packet again, and that decides anew.
 
-use derive_more::Display;
-
 use crate::load::Board;
 use crate::prelude::*;
 
@@ -20,21 +18,17 @@
 
 /// Why a flow is reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-#[derive(Display)]
 pub enum Reason {
     /// No route has the address.
-    #[display("no_route")]
     NoRoute,
     /// No endpoint of the service takes new flows.
-    #[display("no_endpoint")]
     NoEndpoint,
     /// The endpoint's entry was removed and the endpoint stays silent.
-    #[display("endpoint_gone")]
     EndpointGone,
 }
 
 impl Reason {
-    /// Returns the name, for metrics.
+    /// Returns the name, for logs and metrics.
     pub fn label(self) -> &'static str {
         match self {
             Self::NoRoute => "no_route",
--- a/crates/steering/src/settings.rs
+++ b/crates/steering/src/settings.rs
@@ -4,26 +4,12 @@
 use std::path::Path;
 use std::time::Duration;
 
-use derive_more::Display;
+pub use ragwortbeam_base::document::Fault;
+use ragwortbeam_base::document::decode;
 
 use crate::errors::{Error, Result};
 use crate::generated::ragwortbeam::steering::settings::v1 as document;
 
-/// What is wrong with a settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Display)]
-#[display("{file}: {field}: expected {expected}, found {found}")]
-pub struct Fault {
-    /// Path of the file.
-    pub file: String,
-    /// Path of the field within the file.
-    pub field: String,
-    /// What the field has to be.
-    pub expected: String,
-    /// What it is.
-    pub found: String,
-}
-
 /// Checked settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -45,8 +31,6 @@
     pub seeds: Vec<Ipv4Addr>,
     /// True when the whole system starts for the first time.
     pub is_first_start: bool,
-    /// Interval at which endpoints renew their entries.
-    pub endpoint_heartbeat: Duration,
     /// Longest graceful stop.
     pub stop_timeout: Duration,
     /// Age after which a flow may be dropped.
@@ -72,15 +56,7 @@
 ///
 /// The first fault found.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Fault> {
-    let mut deserializer = serde_json::Deserializer::from_str(text);
-    let decoded: Result<document::Settings, _> =
-        serde_path_to_error::deserialize(&mut deserializer);
-    let document = decoded.map_err(|error| Fault {
-        file: file.to_owned(),
-        field: error.path().to_string(),
-        expected: "a document as docs/OPERATIONS.md describes".to_owned(),
-        found: error.inner().to_string(),
-    })?;
+    let document: document::Settings = decode(file, text)?;
     Check { file }.settings(document)
 }
 
@@ -94,7 +70,6 @@
         for (index, seed) in document.seeds.iter().enumerate() {
             seeds.push(*self.address(&format!("seeds[{index}]"), seed)?.ip());
         }
-        let heartbeat_s = f64::from(document.endpoint_heartbeat_ms) / 1000.0;
         let link = self.above_zero("link_mbps", document.link_mbps)?;
         let cpu = self.above_zero("cpu_share", document.cpu_share)?;
         Ok(Settings {
@@ -107,7 +82,6 @@
             platform_address: self.address("platform_address", &document.platform_address)?,
             seeds,
             is_first_start: document.is_first_start,
-            endpoint_heartbeat: self.seconds("endpoint_heartbeat_ms", heartbeat_s)?,
             stop_timeout: self.seconds("stop_timeout_s", document.stop_timeout_s)?,
             flow_lifetime: self.seconds("flow_lifetime_s", document.flow_lifetime_s)?,
             weight: (link * cpu * 100.0).clamp(1.0, f64::from(u32::MAX)) as u32,
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -6,7 +6,6 @@
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use derive_more::Display;
 use metrics::histogram;
 use ragwortbeam_base::clock;
 
@@ -29,26 +28,21 @@
 
 /// Why a packet is discarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Display)]
 pub enum Discard {
     /// It is not a packet.
-    #[display("malformed")]
     Malformed,
     /// It came before the first catalog, and too many wait for it.
-    #[display("too_early")]
     TooEarly,
     /// Its token names no endpoint known here.
-    #[display("unknown_token")]
     UnknownToken,
     /// It opens a flow without a route, and the catalog is too old to refuse it.
-    #[display("catalog_outdated")]
     CatalogOutdated,
     /// It ends a flow that has no token.
-    #[display("no_flow")]
     NoFlow,
 }
 
 impl Discard {
+    /// Returns the name, for logs and metrics.
     fn label(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -119,7 +119,6 @@
         platform_address: any,
         seeds: seeds.iter().map(|seed| *seed.ip()).collect(),
         is_first_start: false,
-        endpoint_heartbeat: Duration::from_millis(1200),
         stop_timeout: Duration::from_secs(6),
         flow_lifetime: Duration::from_secs(60),
         weight: 100,
--- a/crates/steering/tests/settings.rs
+++ b/crates/steering/tests/settings.rs
@@ -12,7 +12,7 @@
   "peer_address": "10.1.0.1:7720", "metrics_address": "10.1.0.1:9464",
   "platform_address": "10.200.1.7:8169",
   "seeds": ["10.1.0.1:8166", "10.2.0.40:8166"],
-  "is_first_start": true, "endpoint_heartbeat_ms": 1200,
+  "is_first_start": true,
   "stop_timeout_s": 6, "flow_lifetime_s": 60, "link_mbps": 700.0, "cpu_share": 0.17
 }"#;
 
@@ -20,7 +20,7 @@
 fn good_settings_are_taken() {
     let settings = parse("s.json", GOOD).unwrap();
     assert_eq!(settings.seeds[1], Ipv4Addr::new(10, 2, 0, 40));
-    assert_eq!(settings.endpoint_heartbeat, Duration::from_millis(1200));
+    assert_eq!(settings.stop_timeout, Duration::from_secs(6));
     assert_eq!(settings.weight, 11_900);
 }
 
@@ -63,7 +63,7 @@
             from: "\"vm\"",
             to: "\"name\"",
             fault: expect![
-                "s.json: name: expected a document as docs/OPERATIONS.md describes, found unknown field `name`, expected one of `vm`, `data_centre`, `packet_address`, `ready_address`, `peer_address`, `metrics_address`, `platform_address`, `seeds`, `is_first_start`, `endpoint_heartbeat_ms`, `stop_timeout_s`, `flow_lifetime_s`, `link_mbps`, `cpu_share` at line 2 column 8"
+                "s.json: name: expected a document as docs/OPERATIONS.md describes, found unknown field `name`, expected one of `vm`, `data_centre`, `packet_address`, `ready_address`, `peer_address`, `metrics_address`, `platform_address`, `seeds`, `is_first_start`, `stop_timeout_s`, `flow_lifetime_s`, `link_mbps`, `cpu_share` at line 2 column 8"
             ],
         },
     ];
--- a/crates/testbed/src/soak/caller.rs
+++ b/crates/testbed/src/soak/caller.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ragwortbeam_platform_standin::{ACK, FIN, Frame, RST, SUM, SYN};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::faults::{LEDGER_FEED, LEDGER_RECORD, MOVING, VAULT};
-use super::frame::{ACK, FIN, Frame, RST, SUM, SYN};
 use super::{World, port};
 
 /// Times after the first at which an opening packet is sent again.
--- a/crates/testbed/src/soak/endpoint.rs
+++ b/crates/testbed/src/soak/endpoint.rs
@@ -5,12 +5,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use ragwortbeam_platform_standin::{self as wire, ACK, FIN, Frame, RST, SUM, SYN};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::frame::{ACK, FIN, Frame, RST, SUM, SYN};
 use super::port;
 use super::promises::Promises;
 use super::store::Store;
@@ -167,7 +166,7 @@
 
     /// Removes the entry of an endpoint.
     pub(crate) fn forget(&self, id: u64) {
-        self.store.remove(&format!("servers/i-{id:x}"));
+        self.store.remove(&wire::endpoint_key(id));
         if self.store.is_well() {
             self.promises.note_left(id);
         }
@@ -213,18 +212,22 @@
     }
 
     fn register(&self, number: u8, endpoint: &Endpoint) {
-        let entry = json!({
-            "service": endpoint.service,
-            "address": format!("{}:{}", self.ip(number), port::ENDPOINT),
-            "zone": if number.is_multiple_of(2) { "dc-a" } else { "dc-b" },
-            "version": "v1", "capacity": 3, "warmupLeftMs": 0, "callSeq": 1, "born": 5,
-            "state": if endpoint.is_draining { "draining" } else { "ready" },
+        let value = wire::entry(&wire::Entry {
+            service: endpoint.service,
+            address: SocketAddrV4::new(self.ip(number), port::ENDPOINT),
+            data_centre: if number.is_multiple_of(2) {
+                "dc-a"
+            } else {
+                "dc-b"
+            },
+            slots: 3,
+            is_draining: endpoint.is_draining,
+            born_ms: 5,
         });
-        let key = format!("servers/i-{:x}", endpoint.id);
         if !endpoint.is_draining {
             self.promises.note_back(endpoint.id);
         }
-        self.store.put(&key, entry.to_string());
+        self.store.put(&wire::endpoint_key(endpoint.id), value);
     }
 }
 
--- a/crates/testbed/src/soak/faults.rs
+++ b/crates/testbed/src/soak/faults.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
+use ragwortbeam_platform_standin::endpoint_key;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -249,7 +250,7 @@
             }
         }
         Change::Garbage => {
-            let key = format!("servers/i-{:x}", random.random_range(1..99));
+            let key = endpoint_key(random.random_range(1..99));
             world.store.put(&key, "{\"service\": 5}");
         }
         Change::Settings => {
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -7,7 +7,6 @@
 mod caller;
 mod endpoint;
 mod faults;
-mod frame;
 mod promises;
 mod proxy;
 mod store;
--- a/crates/testbed/src/soak/store.rs
+++ b/crates/testbed/src/soak/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's store, with its faults.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -9,9 +9,8 @@
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
 use axum::routing::get;
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use serde_json::{Value, json};
+use ragwortbeam_platform_standin::{self as wire, RangeQuery, WatchQuery};
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -60,8 +59,6 @@
     promises: Arc<Promises>,
 }
 
-type Parameters = Query<HashMap<String, String>>;
-
 impl Store {
     /// Starts the store.
     pub async fn start(ip: Ipv4Addr, promises: Arc<Promises>) -> std::io::Result<Arc<Self>> {
@@ -114,17 +111,15 @@
     /// Writes a configuration.
     pub fn configure(&self, version: u64, routes: &Routes) {
         let listed = routes.iter().map(|(address, service)| {
-            let kind = if address.port().is_multiple_of(2) {
-                "safe"
-            } else {
-                "unsafe"
-            };
-            json!({"name": address.to_string(), "host": address.ip().to_string(),
-                "prefix": format!("/{}/", address.port()), "type": kind, "service": service})
+            let is_even = address.port().is_multiple_of(2);
+            (
+                *address,
+                if is_even { "safe" } else { "unsafe" },
+                &**service,
+            )
         });
-        let value = json!({"version": version, "routes": listed.collect::<Vec<Value>>(),
-            "limits": {"idleTimeoutMs": 15000}});
-        self.put("op/config", value.to_string());
+        let value = wire::configuration(version, listed);
+        self.put("op/config", value);
         self.promises.note_configuration(routes.clone());
     }
 
@@ -164,59 +159,44 @@
 
 async fn range(
     State(store): State<Arc<Store>>,
-    Query(parameters): Parameters,
+    Query(query): Query<RangeQuery>,
 ) -> (StatusCode, String) {
     if let Some(refusal) = store.meet().await {
         return refusal;
     }
-    let after = parameters.get("after").cloned().unwrap_or_default();
     let contents = store.contents.lock().unwrap();
-    let mut rest = contents.items.iter().filter(|(key, _)| **key > after);
+    let mut rest = contents.items.iter().filter(|(key, _)| **key > query.after);
     let page = rest.by_ref().take(PAGE);
-    let items = page.map(|(key, (revision, value))| event(key, *revision, Some(value)));
+    let items = page.map(|(key, (revision, value))| wire::item(key, *revision, value));
     let items: Vec<Value> = items.collect();
-    let body = json!({"items": items, "truncated": rest.next().is_some(),
-        "storeRevision": contents.revision});
-    (StatusCode::OK, body.to_string())
+    let body = wire::page(&items, rest.next().is_some(), contents.revision);
+    (StatusCode::OK, body)
 }
 
 async fn watch(
     State(store): State<Arc<Store>>,
-    Query(parameters): Parameters,
+    Query(query): Query<WatchQuery>,
 ) -> (StatusCode, String) {
-    let number = |name| {
-        parameters
-            .get(name)
-            .and_then(|text: &String| text.parse::<u64>().ok())
-    };
-    let (after, wait_ms) = (number("after").unwrap_or(0), number("waitMs").unwrap_or(0));
     let changed = store.changed.notified();
-    let is_behind = || store.contents.lock().unwrap().revision > after;
-    if !is_behind() {
+    if store.contents.lock().unwrap().revision <= query.after {
         // The time running out is an answer without events.
-        let _ = timeout(Duration::from_millis(wait_ms), changed).await;
+        let _ = timeout(Duration::from_millis(query.wait_ms), changed).await;
     }
     if let Some(refusal) = store.meet().await {
         return refusal;
     }
     let contents = store.contents.lock().unwrap();
-    if after < contents.forgotten {
+    if query.after < contents.forgotten {
         return (StatusCode::GONE, "{}".to_owned());
     }
     let events = contents
         .history
         .iter()
-        .filter(|(revision, ..)| *revision > after);
-    let events = events.map(|(revision, key, value)| event(key, *revision, value.as_deref()));
-    let body = json!({"events": events.collect::<Vec<Value>>(),
-        "storeRevision": contents.revision});
-    (StatusCode::OK, body.to_string())
-}
-
-fn event(key: &str, revision: u64, value: Option<&[u8]>) -> Value {
-    match value {
-        Some(value) => json!({"key": key, "revision": revision, "createRevision": 1,
-            "lease": 0, "value": STANDARD.encode(value)}),
-        None => json!({"key": key, "revision": revision, "tombstone": true}),
-    }
+        .filter(|(revision, ..)| *revision > query.after);
+    let events = events.map(|(revision, key, value)| match value {
+        Some(value) => wire::item(key, *revision, value),
+        None => wire::removal(key, *revision),
+    });
+    let events: Vec<Value> = events.collect();
+    (StatusCode::OK, wire::events(&events, contents.revision))
 }
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -81,7 +81,6 @@
             "platform_address": format!("{}:{}", world.ip(4, 10 + number), port::STORE),
             "seeds": [seed(0), seed(1), seed(2)],
             "is_first_start": false,
-            "endpoint_heartbeat_ms": 1200,
             "stop_timeout_s": 6,
             "flow_lifetime_s": 60,
             "link_mbps": 700.0,
