--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -11,15 +11,16 @@
 use crate::prelude::*;
 
 /// Weights of open flows and waiting requests in the load of an endpoint, and the
-/// advantage for each slot that an endpoint of another data centre needs.
+/// advantage for each slot that an endpoint of another data centre needs. The figures are
+/// those of the comparison in `docs/MEASUREMENTS.md`, *Choice of an endpoint*.
 struct Weights {
     open: f64,
     busy: f64,
     remote: f64,
 }
 
-/// For flows of many requests: they stay for long, so the number of such flows counts more
-/// than what waits right now, and a partition would cut them off.
+/// For flows of many requests: an open one stands for requests to come, and a partition
+/// would cut it off.
 const LASTING: Weights = Weights {
     open: 0.15,
     busy: 1.0,
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -25,7 +25,8 @@
 /// Hubs that a VM reports to, so that the loss of one costs nothing.
 const HUBS: usize = 2;
 
-/// Heartbeats a second towards hubs in a data centre of up to [`FULL_RATE_VMS`].
+/// Pause between two heartbeats to the first hub in a data centre of up to
+/// [`FULL_RATE_VMS`]: about the time of one request, so that counts are fresh when it ends.
 const BEAT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// VMs of a data centre above which heartbeats are spaced out, so that a hub's work stays
@@ -43,11 +44,10 @@
 /// Heartbeats between hubs of different data centres, each this many of the others.
 const FOREIGN_EVERY: u64 = 5;
 
-/// Member lists are asked for in each this many heartbeats, and VMs that are down are
-/// probed.
+/// Member lists are asked for in each this many heartbeats, which is every two seconds.
 const MEMBERS_EVERY: u64 = 40;
 
-/// VMs that are down are probed in each this many heartbeats.
+/// VMs that are down are probed in each this many heartbeats, twice a second.
 const PROBE_EVERY: u64 = 10;
 
 /// VMs that are down and probed at a time.
--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -10,7 +10,8 @@
 use crate::message;
 use crate::prelude::*;
 
-/// Heartbeats without an answer after which a VM counts as down here.
+/// Heartbeats without an answer after which a VM counts as down here: 0.3 s, many round
+/// trips.
 const MAX_UNANSWERED: u32 = 6;
 
 /// Age of the last sign of life, direct or told by others, above which a VM counts as
