Take the mesh's locks one at a time; ask for a reset on repeats only

Cause: reading the whole change once more. Link::frame held the members' lock while it took the catalog's, and leave_out_foreign takes them the other way round: harmless on one thread without an await between, a deadlock on two. Every packet of an open flow asked whether it may be reset, though only repeated data can be. Two calls locked the members twice in a row. The description of the no_flow reason was wrong.

Change: one lock at a time in Link::frame; the reset is asked for on repeated data; one lock where there were two.

Conclusion: decisions as before.

--- a/crates/ragwortbeam/src/commands/serve.rs
+++ b/crates/ragwortbeam/src/commands/serve.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use ragwortbeam_base::telemetry;
 use spdlog::{error, warn};
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -9,7 +10,6 @@
 use super::{EXIT_CUT_OFF, EXIT_FAILED, EXIT_OK, EXIT_WRONG};
 use crate::prelude::*;
 use crate::{logging, settings};
-use ragwortbeam_base::telemetry;
 
 /// Runs a node until it is told to stop; returns the exit code.
 pub fn run(path: &Path) -> u8 {
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -140,8 +140,11 @@
     /// Tells hubs that this VM stops.
     pub fn leave(&self) {
         let now = Moment::now();
-        self.members.lock().unwrap().leave();
-        let hubs = self.members.lock().unwrap().hubs(HUBS, now);
+        let hubs = {
+            let mut members = self.members.lock().unwrap();
+            members.leave();
+            members.hubs(HUBS, now)
+        };
         self.send_beat(&hubs, Asks::default(), now);
     }
 
@@ -168,9 +171,12 @@
     }
 
     fn frame(&self, body: frame::Body, now: Moment) -> Frame {
+        // One lock at a time: elsewhere the catalog's is taken before the members'.
+        let sender = self.members.lock().unwrap().me();
+        let view = self.catalog.lock().unwrap().view(now);
         Frame {
-            sender: Some(self.members.lock().unwrap().me()),
-            view: Some(self.catalog.lock().unwrap().view(now)),
+            sender: Some(sender),
+            view: Some(view),
             body: Some(body),
         }
     }
@@ -222,8 +228,11 @@
             return;
         };
         let ip = Ipv4Addr::from(sender.ip);
-        self.members.lock().unwrap().heard(&sender, now);
-        let is_near = *sender.data_centre == **self.members.lock().unwrap().data_centre();
+        let is_near = {
+            let mut members = self.members.lock().unwrap();
+            members.heard(&sender, now);
+            *sender.data_centre == **members.data_centre()
+        };
         let mut changes = None;
         match frame.body {
             Some(frame::Body::Beat(beat)) => self.answer(ip, is_near, beat, now),
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -37,7 +37,7 @@
     UnknownToken,
     /// It opens a flow without a route, and the catalog is too old to refuse it.
     CatalogOutdated,
-    /// It ends a flow that has no token.
+    /// It opens no flow and carries no token.
     NoFlow,
 }
 
@@ -271,10 +271,11 @@
     if observation.answered {
         board.note_alive(key, now);
     }
-    let may_reset = catalog
-        .endpoint(key)
-        .is_some_and(|endpoint| reset::may_reset_open(key, endpoint, board, now));
-    if observation.repeated && may_reset {
+    let may_reset = || {
+        let endpoint = catalog.endpoint(key);
+        endpoint.is_some_and(|endpoint| reset::may_reset_open(key, endpoint, board, now))
+    };
+    if observation.repeated && may_reset() {
         flows.remove(ends);
         return Outcome::Reset(Reason::EndpointGone);
     }
