--- a/crates/steering/src/catalog/endpoint.rs
+++ b/crates/steering/src/catalog/endpoint.rs
@@ -90,10 +90,14 @@
         self.gone_for(now).is_some()
     }
 
+    /// Returns from when on it is gone, unless its entry returns.
+    pub fn gone_at(&self) -> Option<Moment> {
+        self.removal.map(|removal| removal.at + removal.hold)
+    }
+
     /// Returns how long it has been gone.
     pub fn gone_for(&self, now: Moment) -> Option<Duration> {
-        let removal = self.removal?;
-        let gone_at = removal.at + removal.hold;
+        let gone_at = self.gone_at()?;
         (now >= gone_at).then(|| now.since(gone_at))
     }
 
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -1,7 +1,7 @@
 //! Choice of an endpoint for a new flow.
 //!
-//! Inputs are the catalog, this VM's own counts and the other VMs' counts, which are a
-//! report interval old. Chance breaks near ties, so that VMs with the same report do not
+//! Inputs are the catalog, the VM's subset of it, this VM's own counts and the other VMs'
+//! counts, which are a report interval old. Chance breaks near ties, so that VMs with the same report do not
 //! all choose the same endpoint.
 
 use rand::{Rng, RngExt};
@@ -9,6 +9,7 @@
 use crate::catalog::{Key, Traffic};
 use crate::load::Board;
 use crate::prelude::*;
+use crate::subset::Subset;
 
 /// Weights of open flows and waiting requests in the load of an endpoint, and the
 /// advantage for each slot that an endpoint of another data centre needs. The figures are
@@ -70,24 +71,32 @@
 }
 
 /// Returns the endpoint for a new flow; `None` when the service has none that takes flows.
+///
+/// It is one of the VM's subset, unless none of these answers.
 pub fn choose(
     wish: &Wish<'_>,
+    subset: &Subset,
     catalog: &Catalog,
     board: &Board,
     now: Moment,
     random: &mut impl Rng,
 ) -> Option<Key> {
-    let candidates: Vec<(Key, &Endpoint)> = catalog
-        .endpoints()
-        .filter(|(key, endpoint)| {
-            *endpoint.entry.service == *wish.service
-                && endpoint.takes_flows(now)
-                && !catalog.is_ambiguous(*key)
-        })
-        .collect();
+    let is_usable = |(key, endpoint): &(Key, &Endpoint)| {
+        *endpoint.entry.service == *wish.service
+            && endpoint.takes_flows(now)
+            && !catalog.is_ambiguous(*key)
+    };
     let silent = |(key, endpoint): &(Key, &Endpoint)| {
         board.is_silent(*key, endpoint, now) && !board.may_retry(*key, now)
     };
+    let known = subset.of(wish.service).iter();
+    let mut candidates: Vec<(Key, &Endpoint)> = known
+        .filter_map(|key| Some((*key, catalog.endpoint(*key)?)))
+        .filter(is_usable)
+        .collect();
+    if candidates.iter().all(silent) {
+        candidates = catalog.endpoints().filter(is_usable).collect();
+    }
     let silent_count = candidates.iter().filter(|it| silent(it)).count();
     let leaves_out_silent = silent_count * 100 <= candidates.len() * MAX_SILENT_PERCENT;
     let best = |is_allowed: &dyn Fn(&(Key, &Endpoint)) -> bool, random: &mut dyn FnMut() -> f64| {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod reset;
 pub mod settings;
 pub mod steer;
+pub mod subset;
 
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 mod generated;
--- a/crates/steering/src/load.rs
+++ b/crates/steering/src/load.rs
@@ -6,7 +6,6 @@
 use slotmap::SecondaryMap;
 
 use crate::catalog::Key;
-use crate::message;
 use crate::prelude::*;
 
 /// Unanswered opening packets after which an endpoint counts as silent: one may be lost
@@ -28,9 +27,6 @@
 /// Age above which a report from a hub that knows more VMs is replaced by any other.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time of the last sign of life that is reported at most.
-const MAX_SILENCE: Duration = Duration::from_secs(60);
-
 /// Load that this VM causes at one endpoint, and what it has seen of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Own {
@@ -45,7 +41,7 @@
     retry_pause: Duration,
 }
 
-/// Sum of what other VMs report of one endpoint.
+/// What VMs other than this one report of one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reported {
     /// Flows that are open.
@@ -54,17 +50,37 @@
     pub busy: u32,
     /// Opening packets without a sign of life after them.
     pub unanswered: u32,
-    /// Time since the last sign of life when the report was made.
-    pub silence: Duration,
+    /// True when it answered one of the VMs within [`ALIVE_WINDOW`].
+    pub is_alive: bool,
 }
 
-/// Reports of other VMs by endpoint tag.
+impl Reported {
+    /// Adds what further VMs report.
+    pub fn add(&mut self, other: Self) {
+        self.open += other.open;
+        self.busy += other.busy;
+        self.unanswered += other.unanswered;
+        self.is_alive |= other.is_alive;
+    }
+
+    /// Takes a part of the counts out again; signs of life stay.
+    pub fn subtract(&mut self, part: Self) {
+        self.open = self.open.saturating_sub(part.open);
+        self.busy = self.busy.saturating_sub(part.busy);
+        self.unanswered = self.unanswered.saturating_sub(part.unanswered);
+    }
+}
+
+/// Reports by endpoint tag.
+pub type Loads = HashMap<u32, Reported>;
+
+/// The report in use.
 #[derive(Debug, Default)]
 struct Report {
     hub: Option<Ipv4Addr>,
     contributors: u32,
     at: Moment,
-    by_tag: HashMap<u32, Reported>,
+    by_tag: Loads,
 }
 
 /// Load of all endpoints.
@@ -153,7 +169,7 @@
         }
         let reported = self.reported(endpoint, now);
         let is_reported =
-            own.unanswered + reported.unanswered >= SILENT_AFTER && reported.silence > ALIVE_WINDOW;
+            own.unanswered + reported.unanswered >= SILENT_AFTER && !reported.is_alive;
         is_reported && !self.is_alive(key, ALIVE_WINDOW, now)
     }
 
@@ -178,22 +194,21 @@
         }
     }
 
-    /// Returns this VM's part as a message.
-    pub fn own_message(&self, catalog: &Catalog, now: Moment) -> Vec<message::Load> {
+    /// Returns this VM's part; endpoints that it left alone lately are omitted.
+    pub fn own_loads(&self, catalog: &Catalog, now: Moment) -> Loads {
         let loads = self.own.iter().filter_map(|(key, own)| {
             let endpoint = catalog.endpoint(key)?;
-            let silence = own.alive_at.map_or(MAX_SILENCE, |alive| now.since(alive));
             let is_idle = own.open == 0 && own.busy == 0 && own.unanswered == 0;
-            if is_idle && silence >= REPORT_LIFETIME {
+            if is_idle && !self.is_alive(key, REPORT_LIFETIME, now) {
                 return None;
             }
-            Some(message::Load {
-                tag: endpoint.tag,
+            let reported = Reported {
                 open: own.open,
                 busy: own.busy,
                 unanswered: own.unanswered,
-                silent_ms: silence.min(MAX_SILENCE).as_millis() as u32,
-            })
+                is_alive: self.is_alive(key, ALIVE_WINDOW, now),
+            };
+            Some((endpoint.tag, reported))
         });
         loads.collect()
     }
@@ -204,7 +219,7 @@
         &mut self,
         hub: Ipv4Addr,
         contributors: u32,
-        loads: &[message::Load],
+        loads: Loads,
         is_partial: bool,
         now: Moment,
     ) {
@@ -221,44 +236,10 @@
         if !is_partial {
             held.by_tag.clear();
         }
-        held.by_tag.extend(sum(loads.iter()));
+        held.by_tag.extend(loads);
     }
 
     fn entry(&mut self, key: Key) -> Option<&mut Own> {
         self.own.entry(key).map(|entry| entry.or_default())
     }
 }
-
-/// Adds up loads by endpoint tag.
-pub fn sum<'a>(loads: impl Iterator<Item = &'a message::Load>) -> HashMap<u32, Reported> {
-    let mut sums = HashMap::new();
-    for load in loads {
-        let silence = Duration::from_millis(load.silent_ms.into());
-        let sum = sums.entry(load.tag).or_insert(Reported {
-            silence,
-            ..Reported::default()
-        });
-        sum.open += load.open;
-        sum.busy += load.busy;
-        sum.unanswered += load.unanswered;
-        sum.silence = sum.silence.min(silence);
-    }
-    sums
-}
-
-/// Returns sums as a message.
-pub fn message(sums: &HashMap<u32, Reported>) -> Vec<message::Load> {
-    let loads = sums.iter().map(|(tag, sum)| message::Load {
-        tag: *tag,
-        open: sum.open,
-        busy: sum.busy,
-        unanswered: sum.unanswered,
-        // Signs of life matter beside unanswered packets only, and cost a third of a load.
-        silent_ms: if sum.unanswered > 0 {
-            sum.silence.as_millis() as u32
-        } else {
-            0
-        },
-    });
-    loads.collect()
-}
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -1,20 +1,20 @@
 //! Datagrams between VMs: heartbeats, digests and news of the catalog.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 
 use metrics::counter;
 use prost::Message;
-use ragwortbeam_base::http;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
 
+use super::beat::{Asks, HUBS, Pace};
 use super::{Sums, Table};
-use crate::load::Board;
-use crate::message::{self, Beat, Digest, Frame, frame};
+use crate::load::{Board, Loads};
+use crate::message::{self, Digest, Frame, frame};
 use crate::prelude::*;
 use crate::settings::Settings;
+use crate::subset::Subsets;
 
 /// Largest datagram between VMs, bytes: what UDP carries.
 const MAX_FRAME_LEN: usize = 65_000;
@@ -22,71 +22,23 @@
 /// Changes above this size are pulled by the receiver, bytes: one packet on the wire.
 const MAX_PUSH_LEN: usize = 1200;
 
-/// Hubs that a VM reports to, so that the loss of one costs nothing.
-const HUBS: usize = 2;
-
-/// Pause between two heartbeats to the first hub in a data centre of up to
-/// [`FULL_RATE_VMS`]: about the time of one request, so that counts are fresh when it ends.
-const BEAT_INTERVAL: Duration = Duration::from_millis(50);
-
-/// VMs of a data centre above which heartbeats are spaced out, so that a hub's work stays
-/// constant.
-const FULL_RATE_VMS: u32 = 40;
-
-/// Heartbeats to the second hub, each this many of those to the first: it only has to be
-/// able to take over.
-const STANDBY_EVERY: u64 = 4;
-
-/// Loads of other data centres' endpoints are asked for in each this many heartbeats: only
-/// flows that leave a full data centre need them.
-const WHOLE_EVERY: u64 = 8;
-
-/// Heartbeats between hubs of different data centres, each this many of the others.
-const FOREIGN_EVERY: u64 = 5;
-
-/// Member lists are asked for in each this many heartbeats, which is every two seconds.
-const MEMBERS_EVERY: u64 = 40;
-
-/// VMs that are down are probed in each this many heartbeats, twice a second.
-const PROBE_EVERY: u64 = 10;
-
-/// VMs that are down and probed at a time.
-const MAX_PROBES: usize = 4;
-
-/// Time allowed for reading a catalog from another VM.
-const PULL_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Pause after a failed reading from another VM.
-const PULL_PAUSE: Duration = Duration::from_millis(100);
-
-/// What a heartbeat asks for.
-#[derive(Clone, Copy, Debug, Default)]
-struct Asks {
-    /// Members.
-    members: bool,
-    /// Loads of all data centres.
-    whole: bool,
-}
-
-impl Asks {
-    const MEMBERS: Self = Self {
-        members: true,
-        whole: false,
-    };
-}
-
 /// One VM's side of the mesh.
 pub struct Link {
-    socket: UdpSocket,
-    port: u16,
+    pub(super) socket: UdpSocket,
+    pub(super) port: u16,
     /// Members.
     pub members: Arc<Mutex<Table>>,
     /// Seeds, replaced when the settings change.
     pub seeds: Mutex<Vec<Ipv4Addr>>,
-    catalog: Arc<Mutex<Catalog>>,
-    board: Arc<Mutex<Board>>,
-    sums: Mutex<Sums>,
-    is_pulling: AtomicBool,
+    pub(super) catalog: Arc<Mutex<Catalog>>,
+    pub(super) board: Arc<Mutex<Board>>,
+    pub(super) sums: Mutex<Sums>,
+    /// Subsets of this VM and of those that report to it.
+    pub(super) subsets: Mutex<Subsets>,
+    /// Last whole report of this VM.
+    pub(super) reported: Mutex<Loads>,
+    pub(super) pace: Mutex<Pace>,
+    pub(super) is_pulling: AtomicBool,
 }
 
 impl Link {
@@ -106,6 +58,9 @@
             catalog,
             board,
             sums: Mutex::default(),
+            subsets: Mutex::default(),
+            reported: Mutex::default(),
+            pace: Mutex::default(),
             is_pulling: AtomicBool::new(false),
         }
     }
@@ -170,7 +125,7 @@
         self.frame(frame::Body::Digest(digest), now)
     }
 
-    fn frame(&self, body: frame::Body, now: Moment) -> Frame {
+    pub(super) fn frame(&self, body: frame::Body, now: Moment) -> Frame {
         // One lock at a time: elsewhere the catalog's is taken before the members'.
         let sender = self.members.lock().unwrap().me();
         let view = self.catalog.lock().unwrap().view(now);
@@ -181,49 +136,19 @@
         }
     }
 
-    fn send(&self, ip: Ipv4Addr, frame: &Frame) {
+    /// Sends a frame.
+    pub(super) fn send(&self, ip: Ipv4Addr, frame: &Frame) {
         let address = SocketAddr::from((ip, self.port));
-        if let Err(error) = self.socket.try_send_to(&frame.encode_to_vec(), address) {
+        let datagram = frame.encode_to_vec();
+        counter!("ragwortbeam_peer_bytes_total", "direction" => "sent")
+            .increment(datagram.len() as u64);
+        if let Err(error) = self.socket.try_send_to(&datagram, address) {
             counter!("ragwortbeam_peer_send_failures_total").increment(1);
             warn!("event=peer_send_failed to={address} error=\"{error}\"");
         }
     }
 
-    /// Sends a heartbeat with this VM's load.
-    fn send_beat(&self, receivers: &[Ipv4Addr], asks: Asks, now: Moment) {
-        if receivers.is_empty() {
-            return;
-        }
-        let loads = {
-            let catalog = self.catalog.lock().unwrap();
-            self.board.lock().unwrap().own_message(&catalog, now)
-        };
-        let frame = self.frame(
-            frame::Body::Beat(Beat {
-                wants_members: asks.members,
-                wants_whole: asks.whole,
-                loads,
-            }),
-            now,
-        );
-        for receiver in receivers {
-            self.members.lock().unwrap().note_sent(*receiver);
-            self.send(*receiver, &frame);
-        }
-    }
-
-    /// Takes this VM's own load into its sums, and the sums into its board.
-    fn take_own(&self, now: Moment) {
-        let catalog = self.catalog.lock().unwrap();
-        let mut board = self.board.lock().unwrap();
-        let mut sums = self.sums.lock().unwrap();
-        let me = self.members.lock().unwrap().ip();
-        sums.take_local(me, board.own_message(&catalog, now), now);
-        let (loads, contributors) = sums.without(me, now);
-        board.take_report(me, contributors, &loads, false, now);
-    }
-
-    fn handle(self: &Arc<Self>, frame: Frame, now: Moment) {
+    pub(super) fn handle(self: &Arc<Self>, frame: Frame, now: Moment) {
         let Some(sender) = frame.sender else {
             return;
         };
@@ -239,7 +164,7 @@
             Some(frame::Body::Digest(mut digest)) => {
                 let taken = digest.changes.take();
                 changes = taken.map(|changes| (changes, digest.changed_after));
-                self.take_digest(ip, is_near, &sender.data_centre, digest, now);
+                self.take_digest(ip, is_near, &sender.data_centre, &digest, now);
             }
             None => {}
         }
@@ -248,73 +173,6 @@
         }
     }
 
-    fn answer(&self, ip: Ipv4Addr, is_near: bool, beat: Beat, now: Moment) {
-        let (mut loads, contributors) = {
-            let mut sums = self.sums.lock().unwrap();
-            if is_near {
-                sums.take_local(ip, beat.loads, now);
-                sums.without(ip, now)
-            } else {
-                sums.local(now)
-            }
-        };
-        let is_partial = is_near && !beat.wants_whole;
-        if is_partial {
-            self.leave_out_foreign(&mut loads);
-        }
-        let members = if beat.wants_members {
-            self.members.lock().unwrap().messages(now)
-        } else {
-            Vec::new()
-        };
-        let digest = Digest {
-            loads,
-            contributors,
-            members,
-            is_partial,
-            ..Digest::default()
-        };
-        let frame = self.frame(frame::Body::Digest(digest), now);
-        self.send(ip, &frame);
-    }
-
-    /// Leaves out loads of endpoints in other data centres.
-    fn leave_out_foreign(&self, loads: &mut Vec<message::Load>) {
-        let catalog = self.catalog.lock().unwrap();
-        let data_centre = self.members.lock().unwrap().data_centre().clone();
-        loads.retain(|load| {
-            let key = catalog.by_tag(load.tag);
-            key.and_then(|key| catalog.endpoint(key))
-                .is_some_and(|endpoint| endpoint.entry.data_centre == data_centre)
-        });
-    }
-
-    fn take_digest(
-        &self,
-        ip: Ipv4Addr,
-        is_near: bool,
-        data_centre: &str,
-        digest: Digest,
-        now: Moment,
-    ) {
-        let mut members = self.members.lock().unwrap();
-        for member in &digest.members {
-            members.take(member, now);
-        }
-        drop(members);
-        if digest.contributors == 0 {
-            return;
-        }
-        if is_near {
-            let mut board = self.board.lock().unwrap();
-            let (loads, is_partial) = (&digest.loads, digest.is_partial);
-            board.take_report(ip, digest.contributors, loads, is_partial, now);
-        } else {
-            let mut sums = self.sums.lock().unwrap();
-            sums.take_foreign(data_centre.into(), digest.contributors, digest.loads, now);
-        }
-    }
-
     /// Takes another VM's changes, if they complete this catalog, and learns from its view
     /// how current this catalog is.
     fn take_view(
@@ -351,48 +209,6 @@
             self.start_pull(ip);
         }
     }
-
-    fn start_pull(self: &Arc<Self>, ip: Ipv4Addr) {
-        if self.is_pulling.swap(true, Ordering::AcqRel) {
-            return;
-        }
-        let link = self.clone();
-        tokio::spawn(async move {
-            if let Err(error) = pull(&link, ip).await {
-                warn!("event=catalog_pull_failed from={ip} error=\"{error}\"");
-                sleep(PULL_PAUSE).await;
-            }
-            link.is_pulling.store(false, Ordering::Release);
-        });
-    }
-}
-
-/// Reads from another VM what this one's catalog lacks.
-///
-/// # Errors
-///
-/// [`Error::Call`], [`Error::Status`] or [`Error::Answer`]; another VM may be asked.
-pub async fn pull(link: &Arc<Link>, ip: Ipv4Addr) -> Result<()> {
-    let revision = link.catalog.lock().unwrap().revision();
-    let context = || format!("catalog of {ip}");
-    let client = http::Client::new(format!("{ip}:{}", link.port));
-    let answer = client
-        .get(&format!("/catalog?after={revision}"), PULL_TIMEOUT)
-        .await
-        .map_err(|source| Error::Call {
-            context: context(),
-            source,
-        })?;
-    if !answer.status.is_success() {
-        return Err(Error::Status {
-            context: context(),
-            status: answer.status.as_u16(),
-        });
-    }
-    let frame = Frame::decode(answer.body).map_err(|error| Error::answer(context(), error))?;
-    info!("event=catalog_pulled from={ip} after={revision}");
-    link.handle(frame, Moment::now());
-    Ok(())
 }
 
 /// Receives frames for the life of the process.
@@ -408,8 +224,14 @@
                 continue;
             }
         };
+        counter!("ragwortbeam_peer_bytes_total", "direction" => "received").increment(len as u64);
         match Frame::decode(&datagram[..len]) {
-            Ok(frame) => link.handle(frame, Moment::now()),
+            Ok(frame) => {
+                if let Some(frame::Body::Digest(Digest { loads: Some(_), .. })) = &frame.body {
+                    link.pace.lock().unwrap().note_digest(len);
+                }
+                link.handle(frame, Moment::now());
+            }
             Err(error) => {
                 counter!("ragwortbeam_peer_malformed_total").increment(1);
                 info!("event=peer_frame_malformed len={len} error=\"{error}\"");
@@ -417,63 +239,3 @@
         }
     }
 }
-
-/// Sends heartbeats for the life of the process.
-pub async fn beat(link: Arc<Link>) {
-    // The first write after binding fails until the runtime knows the socket as writable.
-    if let Err(error) = link.socket.writable().await {
-        warn!("event=peer_socket_failed error=\"{error}\"");
-    }
-    let mut count: u64 = 0;
-    loop {
-        let now = Moment::now();
-        link.take_own(now);
-        let (has_company, size, rank) = {
-            let members = link.members.lock().unwrap();
-            (
-                members.has_company(now),
-                members.size(now),
-                members.rank(now),
-            )
-        };
-        let asks = Asks {
-            members: count.is_multiple_of(MEMBERS_EVERY) || !has_company,
-            whole: count.is_multiple_of(WHOLE_EVERY),
-        };
-        let is_standby_due = asks.members || count.is_multiple_of(STANDBY_EVERY);
-        let hub_count = if is_standby_due { HUBS } else { 1 };
-        let hubs = link.members.lock().unwrap().hubs(hub_count, now);
-        link.send_beat(&hubs, asks, now);
-        if rank < HUBS && count.is_multiple_of(FOREIGN_EVERY) {
-            let hubs = link.members.lock().unwrap().foreign_hubs(now);
-            link.send_beat(&hubs, asks, now);
-        }
-        if !has_company {
-            let me = link.members.lock().unwrap().ip();
-            let mut seeds = link.seeds.lock().unwrap().clone();
-            seeds.retain(|seed| *seed != me);
-            link.send_beat(&seeds, Asks::MEMBERS, now);
-        } else if rank < HUBS && count.is_multiple_of(PROBE_EVERY) {
-            probe(&link, count, now);
-        }
-        count += 1;
-        let interval = BEAT_INTERVAL * (size as u32).max(FULL_RATE_VMS) / FULL_RATE_VMS;
-        sleep(interval).await;
-    }
-}
-
-/// Sends heartbeats to some VMs that are down, in turn.
-fn probe(link: &Arc<Link>, count: u64, now: Moment) {
-    let mut lost = {
-        let mut members = link.members.lock().unwrap();
-        members.forget(now);
-        members.lost(now)
-    };
-    lost.sort();
-    if !lost.is_empty() {
-        let turn = (count / PROBE_EVERY) as usize * MAX_PROBES % lost.len();
-        lost.rotate_left(turn);
-        lost.truncate(MAX_PROBES);
-    }
-    link.send_beat(&lost, Asks::MEMBERS, now);
-}
--- a/crates/steering/src/mesh/sums.rs
+++ b/crates/steering/src/mesh/sums.rs
@@ -3,21 +3,38 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
-use crate::load::{self, Reported};
-use crate::message;
+use crate::load::{Loads, Reported};
 use crate::prelude::*;
 
-/// Age above which a VM's report no longer counts: several heartbeats.
+/// Age above which a VM's report no longer counts: several heartbeats, and two of the
+/// slowest pace.
 const REPORT_LIFETIME: Duration = Duration::from_secs(1);
 
 /// Age up to which a sum is used again.
 const SUM_LIFETIME: Duration = Duration::from_millis(20);
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Report {
     at: Moment,
     contributors: u32,
-    loads: Vec<message::Load>,
+    /// Last whole report.
+    whole: Loads,
+    /// What has differed from it since.
+    changed: Loads,
+}
+
+impl Report {
+    fn get(&self, tag: u32) -> Reported {
+        let report = self.changed.get(&tag).or_else(|| self.whole.get(&tag));
+        report.copied().unwrap_or_default()
+    }
+
+    fn loads(&self) -> impl Iterator<Item = (u32, Reported)> {
+        let kept = self.whole.iter();
+        let kept = kept.filter(|(tag, _)| !self.changed.contains_key(tag));
+        kept.chain(&self.changed)
+            .map(|(tag, report)| (*tag, *report))
+    }
 }
 
 /// Reports of the VMs of this data centre and sums of the others.
@@ -26,21 +43,25 @@
     local: HashMap<Ipv4Addr, Report>,
     foreign: HashMap<Arc<str>, Report>,
     summed_at: Moment,
-    local_sum: HashMap<u32, Reported>,
-    whole_sum: HashMap<u32, Reported>,
+    local_sum: Loads,
+    whole_sum: Loads,
     local_contributors: u32,
     whole_contributors: u32,
 }
 
 impl Sums {
-    /// Takes the report of a VM of this data centre.
-    pub fn take_local(&mut self, ip: Ipv4Addr, loads: Vec<message::Load>, now: Moment) {
-        let report = Report {
-            at: now,
-            contributors: 1,
-            loads,
-        };
-        self.local.insert(ip, report);
+    /// Takes the report of a VM of this data centre; a partial one has what differs from
+    /// the last whole one.
+    pub fn take_local(&mut self, ip: Ipv4Addr, loads: Loads, is_partial: bool, now: Moment) {
+        let report = self.local.entry(ip).or_default();
+        report.at = now;
+        report.contributors = 1;
+        if is_partial {
+            report.changed = loads;
+        } else {
+            report.whole = loads;
+            report.changed.clear();
+        }
     }
 
     /// Takes the sum of another data centre.
@@ -48,13 +69,14 @@
         &mut self,
         data_centre: Arc<str>,
         contributors: u32,
-        loads: Vec<message::Load>,
+        loads: Loads,
         now: Moment,
     ) {
         let report = Report {
             at: now,
             contributors,
-            loads,
+            whole: loads,
+            changed: Loads::new(),
         };
         self.foreign.insert(data_centre, report);
     }
@@ -68,29 +90,31 @@
         fresh.map(|(ip, _)| *ip).collect()
     }
 
-    /// Returns the sum over all VMs but `receiver`, which is of this data centre, and the
-    /// number of VMs in it.
-    pub fn without(&mut self, receiver: Ipv4Addr, now: Moment) -> (Vec<message::Load>, u32) {
+    /// Returns the loads of some endpoints by all VMs but `receiver`, which is of this data
+    /// centre, and the number of VMs in them.
+    pub fn without(
+        &mut self,
+        receiver: Ipv4Addr,
+        tags: &[u32],
+        now: Moment,
+    ) -> (Vec<Reported>, u32) {
         self.refresh(now);
-        let mut loads = load::message(&self.whole_sum);
-        let Some(own) = self.local.get(&receiver) else {
-            return (loads, self.whole_contributors);
-        };
-        let own = load::sum(own.loads.iter());
-        for load in &mut loads {
-            if let Some(own) = own.get(&load.tag) {
-                load.open = load.open.saturating_sub(own.open);
-                load.busy = load.busy.saturating_sub(own.busy);
-                load.unanswered = load.unanswered.saturating_sub(own.unanswered);
-            }
-        }
-        (loads, self.whole_contributors.saturating_sub(1))
+        let own = self.local.get(&receiver);
+        let loads = tags.iter().map(|tag| {
+            let mut sum = self.whole_sum.get(tag).copied().unwrap_or_default();
+            sum.subtract(own.map(|own| own.get(*tag)).unwrap_or_default());
+            // A sign of life matters beside unanswered packets only.
+            sum.is_alive &= sum.unanswered > 0;
+            sum
+        });
+        let contributors = self.whole_contributors.saturating_sub(own.is_some().into());
+        (loads.collect(), contributors)
     }
 
     /// Returns the sum over this data centre and the number of VMs in it.
-    pub fn local(&mut self, now: Moment) -> (Vec<message::Load>, u32) {
+    pub fn local(&mut self, now: Moment) -> (&Loads, u32) {
         self.refresh(now);
-        (load::message(&self.local_sum), self.local_contributors)
+        (&self.local_sum, self.local_contributors)
     }
 
     fn refresh(&mut self, now: Moment) {
@@ -102,15 +126,22 @@
             .retain(|_, report| now.since(report.at) < REPORT_LIFETIME);
         self.foreign
             .retain(|_, report| now.since(report.at) < REPORT_LIFETIME);
-        let local = || self.local.values();
-        let foreign = || self.foreign.values();
-        let loads = |report: &Report| report.loads.clone();
-        let local_loads: Vec<message::Load> = local().flat_map(loads).collect();
-        let foreign_loads: Vec<message::Load> = foreign().flat_map(loads).collect();
-        self.local_sum = load::sum(local_loads.iter());
-        self.whole_sum = load::sum(local_loads.iter().chain(&foreign_loads));
-        self.local_contributors = local().map(|report| report.contributors).sum();
-        let foreign_contributors: u32 = foreign().map(|report| report.contributors).sum();
-        self.whole_contributors = self.local_contributors + foreign_contributors;
+        self.local_sum.clear();
+        self.local_contributors = add(&mut self.local_sum, self.local.values());
+        self.whole_sum.clone_from(&self.local_sum);
+        let foreign = add(&mut self.whole_sum, self.foreign.values());
+        self.whole_contributors = self.local_contributors + foreign;
+    }
+}
+
+/// Adds reports to a sum; returns the number of VMs in them.
+fn add<'a>(sum: &mut Loads, reports: impl Iterator<Item = &'a Report>) -> u32 {
+    let mut contributors = 0;
+    for report in reports {
+        contributors += report.contributors;
+        for (tag, load) in report.loads() {
+            sum.entry(tag).or_default().add(load);
+        }
     }
+    contributors
 }
--- a/crates/steering/src/node.rs
+++ b/crates/steering/src/node.rs
@@ -96,7 +96,7 @@
         let catalog: Arc<Mutex<Catalog>> = Arc::default();
         let board: Arc<Mutex<Board>> = Arc::default();
         let members = Arc::new(Mutex::new(mesh::Table::new(
-            *settings.peer_address.ip(),
+            settings.advertised_ip,
             incarnation,
             &settings.data_centre,
             settings.weight,
@@ -104,6 +104,7 @@
         let link = Link::new(settings, peers, members, catalog.clone(), board.clone());
         let link = Arc::new(link);
         let steering = Arc::new(Steering::new(
+            settings.advertised_ip,
             &settings.data_centre,
             settings.flow_lifetime,
             catalog.clone(),
--- a/crates/steering/src/settings.rs
+++ b/crates/steering/src/settings.rs
@@ -23,6 +23,8 @@
     pub ready_address: SocketAddrV4,
     /// Address for other VMs; its port is the same on all VMs.
     pub peer_address: SocketAddrV4,
+    /// IP that other VMs reach this one at; it names this VM among them.
+    pub advertised_ip: Ipv4Addr,
     /// Address of metrics and status.
     pub metrics_address: SocketAddrV4,
     /// Address of the platform's store.
@@ -70,6 +72,11 @@
         for (index, seed) in document.seeds.iter().enumerate() {
             seeds.push(*self.address(&format!("seeds[{index}]"), seed)?.ip());
         }
+        let peer_address = self.address("peer_address", &document.peer_address)?;
+        let advertised_ip = match &document.advertised_ip {
+            Some(ip) => self.ip("advertised_ip", ip)?,
+            None => *peer_address.ip(),
+        };
         let link = self.above_zero("link_mbps", document.link_mbps)?;
         let cpu = self.above_zero("cpu_share", document.cpu_share)?;
         Ok(Settings {
@@ -77,7 +84,8 @@
             data_centre: self.name("data_centre", document.data_centre)?,
             packet_address: self.address("packet_address", &document.packet_address)?,
             ready_address: self.address("ready_address", &document.ready_address)?,
-            peer_address: self.address("peer_address", &document.peer_address)?,
+            peer_address,
+            advertised_ip,
             metrics_address: self.address("metrics_address", &document.metrics_address)?,
             platform_address: self.address("platform_address", &document.platform_address)?,
             seeds,
@@ -114,6 +122,10 @@
         Ok(address)
     }
 
+    fn ip(&self, field: &str, text: &str) -> Result<Ipv4Addr, Fault> {
+        text.parse().map_err(|_| self.fault(field, "IPv4", text))
+    }
+
     fn above_zero(&self, field: &str, value: f64) -> Result<f64, Fault> {
         if value.is_finite() && value > 0.0 {
             return Ok(value);
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -4,6 +4,7 @@
 mod tasks;
 
 use std::collections::VecDeque;
+use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use metrics::histogram;
@@ -16,6 +17,7 @@
 use crate::packet::Packet;
 use crate::prelude::*;
 use crate::reset::{self, Reason};
+use crate::subset::Subset;
 
 pub use tasks::{recount, run, watch_openings};
 
@@ -74,10 +76,12 @@
 
 /// What steering needs; shared with the tasks that keep it current.
 pub struct Steering {
+    vm: Ipv4Addr,
     data_centre: String,
     flow_lifetime: Duration,
     catalog: Arc<Mutex<Catalog>>,
     board: Arc<Mutex<Board>>,
+    subset: Mutex<Subset>,
     flows: Mutex<flow::Table>,
     /// Opening packets in the order in which they were sent on.
     openings: Mutex<VecDeque<(Ends, Moment)>>,
@@ -85,18 +89,21 @@
 }
 
 impl Steering {
-    /// Returns the steering of a VM in `data_centre`.
+    /// Returns the steering of a VM, which its address names, in `data_centre`.
     pub fn new(
+        vm: Ipv4Addr,
         data_centre: &str,
         flow_lifetime: Duration,
         catalog: Arc<Mutex<Catalog>>,
         board: Arc<Mutex<Board>>,
     ) -> Self {
         Self {
+            vm,
             data_centre: data_centre.to_owned(),
             flow_lifetime,
             catalog,
             board,
+            subset: Mutex::default(),
             flows: Mutex::default(),
             openings: Mutex::default(),
             last_packet_ms: AtomicU64::new(0),
@@ -208,6 +215,10 @@
             }
             avoid = [Some(flow.endpoint), flow.tried];
         }
+        let mut subset = self.subset.lock().unwrap();
+        if !subset.is_current(catalog, now) {
+            *subset = Subset::select(self.vm, &self.data_centre, catalog, now);
+        }
         let mut random = rand::rng();
         let wish = Wish {
             service: route.service(hash(ends)),
@@ -215,7 +226,7 @@
             data_centre: &self.data_centre,
             avoid,
         };
-        let Some(key) = choice::choose(&wish, catalog, board, now, &mut random) else {
+        let Some(key) = choice::choose(&wish, &subset, catalog, board, now, &mut random) else {
             return Outcome::Reset(Reason::NoEndpoint);
         };
         if board.may_retry(key, now) {
--- a/crates/steering/tests/choice.rs
+++ b/crates/steering/tests/choice.rs
@@ -9,8 +9,22 @@
 use common::{HERE, THERE, at, entry, written};
 use ragwortbeam_steering::catalog::{Catalog, Key, Traffic};
 use ragwortbeam_steering::choice::{Wish, choose};
-use ragwortbeam_steering::load::{self, Board};
-use ragwortbeam_steering::message::Load;
+use ragwortbeam_steering::load::{Board, Loads, Reported};
+use ragwortbeam_steering::subset::Subset;
+
+const VM: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+
+/// Returns a report about one endpoint.
+fn report(tag: u32, reported: Reported) -> Loads {
+    Loads::from([(tag, reported)])
+}
+
+fn busy(busy: u32) -> Reported {
+    Reported {
+        busy,
+        ..Reported::default()
+    }
+}
 
 fn catalog(endpoints: &[(u64, &str)]) -> Catalog {
     let mut catalog = Catalog::default();
@@ -39,8 +53,9 @@
 fn shares(catalog: &Catalog, board: &Board, wish: &Wish<'_>, now: u64) -> HashMap<u64, usize> {
     let mut shares = HashMap::new();
     let mut random = rand::rng();
+    let subset = Subset::select(VM, HERE, catalog, at(now));
     for _ in 0..400 {
-        let chosen = choose(wish, catalog, board, at(now), &mut random).unwrap();
+        let chosen = choose(wish, &subset, catalog, board, at(now), &mut random).unwrap();
         let id = catalog.endpoint(chosen).unwrap().id;
         *shares.entry(id).or_default() += 1;
     }
@@ -122,12 +137,7 @@
     let catalog = catalog(&[(1, HERE), (2, HERE)]);
     let mut board = Board::default();
     let tag = catalog.endpoint(key(&catalog, 1)).unwrap().tag;
-    let load = Load {
-        tag,
-        busy: 6,
-        ..Load::default()
-    };
-    board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], false, at(0));
+    board.take_report(Ipv4Addr::LOCALHOST, 3, report(tag, busy(6)), false, at(0));
     let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 100);
     assert!(!chosen.contains_key(&1), "{chosen:?}");
     let chosen = shares(&catalog, &board, &wish(Traffic::Idempotent), 5000);
@@ -138,18 +148,12 @@
 fn a_report_of_fewer_vms_replaces_a_recent_one_only_when_that_is_late() {
     let catalog = catalog(&[(1, HERE)]);
     let (_, endpoint) = catalog.endpoints().next().unwrap();
-    let load = |busy| {
-        vec![Load {
-            tag: endpoint.tag,
-            busy,
-            ..Load::default()
-        }]
-    };
+    let load = |count| report(endpoint.tag, busy(count));
     let mut board = Board::default();
-    board.take_report(Ipv4Addr::new(10, 0, 0, 1), 9, &load(9), false, at(0));
-    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), false, at(100));
+    board.take_report(Ipv4Addr::new(10, 0, 0, 1), 9, load(9), false, at(0));
+    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, load(1), false, at(100));
     assert_eq!(board.reported(endpoint, at(100)).busy, 9);
-    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, &load(1), false, at(700));
+    board.take_report(Ipv4Addr::new(10, 0, 0, 2), 1, load(1), false, at(700));
     assert_eq!(board.reported(endpoint, at(700)).busy, 1);
 }
 
@@ -194,26 +198,26 @@
     struct Case {
         name: &'static str,
         unanswered: u32,
-        silent_ms: u32,
+        is_alive: bool,
         is_silent: bool,
     }
     let cases = [
         Case {
             name: "two packets unanswered elsewhere",
             unanswered: 2,
-            silent_ms: 900,
+            is_alive: false,
             is_silent: true,
         },
         Case {
             name: "one may be lost",
             unanswered: 1,
-            silent_ms: 900,
+            is_alive: false,
             is_silent: false,
         },
         Case {
             name: "one VM's bad link",
             unanswered: 5,
-            silent_ms: 100,
+            is_alive: true,
             is_silent: false,
         },
     ];
@@ -222,31 +226,33 @@
     let endpoint = catalog.endpoint(first).unwrap();
     for case in cases {
         let mut board = Board::default();
-        let load = Load {
-            tag: endpoint.tag,
+        let reported = Reported {
             unanswered: case.unanswered,
-            silent_ms: case.silent_ms,
-            ..Load::default()
+            is_alive: case.is_alive,
+            ..Reported::default()
         };
-        board.take_report(Ipv4Addr::LOCALHOST, 3, &[load], false, at(0));
+        let loads = report(endpoint.tag, reported);
+        board.take_report(Ipv4Addr::LOCALHOST, 3, loads, false, at(0));
         let is_silent = board.is_silent(first, endpoint, at(10));
         assert_eq!(is_silent, case.is_silent, "{}", case.name);
     }
 }
 
 #[test]
-fn sums_add_counts_and_keep_the_latest_sign_of_life() {
-    let load = |busy, silent_ms| Load {
-        tag: 7,
+fn reports_add_up_and_keep_any_sign_of_life() {
+    let reported = |busy, is_alive| Reported {
         open: 1,
         busy,
         unanswered: 1,
-        silent_ms,
+        is_alive,
     };
-    let sums = load::sum([load(1, 500), load(2, 50)].iter());
-    let sum = sums[&7];
+    let mut sum = reported(1, false);
+    sum.add(reported(2, true));
     assert_eq!((sum.open, sum.busy, sum.unanswered), (2, 3, 2));
-    assert_eq!(sum.silence, Duration::from_millis(50));
+    assert!(sum.is_alive);
+    sum.subtract(reported(5, true));
+    assert_eq!((sum.open, sum.busy, sum.unanswered), (1, 0, 1));
+    assert!(sum.is_alive);
 }
 
 #[test]
@@ -266,17 +272,13 @@
 fn a_partial_report_keeps_what_it_does_not_cover() {
     let catalog = catalog(&[(1, HERE), (2, THERE)]);
     let endpoint = |id| catalog.endpoint(key(&catalog, id)).unwrap();
-    let load = |id, busy| Load {
-        tag: endpoint(id).tag,
-        busy,
-        ..Load::default()
-    };
+    let load = |id, count| (endpoint(id).tag, busy(count));
     let hub = Ipv4Addr::LOCALHOST;
     let mut board = Board::default();
-    board.take_report(hub, 3, &[load(1, 5), load(2, 6)], false, at(0));
-    board.take_report(hub, 3, &[load(1, 1)], true, at(50));
-    let busy = |board: &Board, id| board.reported(endpoint(id), at(60)).busy;
-    assert_eq!((busy(&board, 1), busy(&board, 2)), (1, 6));
-    board.take_report(hub, 3, &[load(1, 2)], false, at(100));
-    assert_eq!((busy(&board, 1), busy(&board, 2)), (2, 0));
+    board.take_report(hub, 3, Loads::from([load(1, 5), load(2, 6)]), false, at(0));
+    board.take_report(hub, 3, Loads::from([load(1, 1)]), true, at(50));
+    let held = |board: &Board, id| board.reported(endpoint(id), at(60)).busy;
+    assert_eq!((held(&board, 1), held(&board, 2)), (1, 6));
+    board.take_report(hub, 3, Loads::from([load(1, 2)]), false, at(100));
+    assert_eq!((held(&board, 1), held(&board, 2)), (2, 0));
 }
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -162,6 +162,7 @@
         let catalog = Arc::new(Mutex::new(catalog));
         let board: Arc<Mutex<Board>> = Arc::default();
         let steering = Steering::new(
+            Ipv4Addr::new(10, 1, 0, 1),
             HERE,
             Duration::from_secs(60),
             catalog.clone(),
--- a/crates/steering/tests/mesh.rs
+++ b/crates/steering/tests/mesh.rs
@@ -5,8 +5,9 @@
 use std::net::Ipv4Addr;
 
 use common::{HERE, THERE, at};
-use ragwortbeam_steering::mesh::{Sums, Table};
-use ragwortbeam_steering::message::{Load, Member};
+use ragwortbeam_steering::load::{Loads, Reported};
+use ragwortbeam_steering::mesh::{Pace, Sums, Table, columns};
+use ragwortbeam_steering::message::Member;
 
 fn ip(last: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 1, 0, last)
@@ -96,37 +97,146 @@
     assert_eq!(table.messages(at(0)).len(), 5);
 }
 
-fn load(tag: u32, busy: u32) -> Load {
-    Load {
-        tag,
-        busy,
-        ..Load::default()
-    }
+fn loads(busy: &[(u32, u32)]) -> Loads {
+    let reports = busy.iter().map(|(tag, busy)| {
+        let reported = Reported {
+            busy: *busy,
+            ..Reported::default()
+        };
+        (*tag, reported)
+    });
+    reports.collect()
 }
 
 #[test]
 fn a_receiver_gets_the_sum_of_the_others() {
     let mut sums = Sums::default();
-    sums.take_local(ip(1), vec![load(7, 1)], at(0));
-    sums.take_local(ip(2), vec![load(7, 2), load(8, 1)], at(0));
-    sums.take_foreign(THERE.into(), 5, vec![load(7, 10)], at(0));
-    let (loads, contributors) = sums.without(ip(2), at(0));
-    let busy = |tag| {
-        let load = loads.iter().find(|load| load.tag == tag);
-        load.map_or(0, |load| load.busy)
-    };
-    assert_eq!((busy(7), busy(8), contributors), (11, 0, 6));
-    let (loads, contributors) = sums.local(at(0));
-    let busy: u32 = loads.iter().map(|load| load.busy).sum();
+    sums.take_local(ip(1), loads(&[(7, 1)]), false, at(0));
+    sums.take_local(ip(2), loads(&[(7, 2), (8, 1)]), false, at(0));
+    sums.take_foreign(THERE.into(), 5, loads(&[(7, 10)]), at(0));
+    let (reports, contributors) = sums.without(ip(2), &[7, 8, 9], at(0));
+    let busy: Vec<u32> = reports.iter().map(|report| report.busy).collect();
+    assert_eq!((busy, contributors), (vec![11, 0, 0], 6));
+    let (sum, contributors) = sums.local(at(0));
+    let busy: u32 = sum.values().map(|report| report.busy).sum();
     assert_eq!((busy, contributors), (4, 2));
 }
 
+#[test]
+fn a_partial_report_changes_the_last_whole_one() {
+    struct Case {
+        name: &'static str,
+        /// Partial reports after a whole one of 3 for endpoint 7 and 1 for endpoint 8.
+        partial: &'static [&'static [(u32, u32)]],
+        expected: [u32; 3],
+    }
+    let cases = [
+        Case {
+            name: "nothing changed",
+            partial: &[&[]],
+            expected: [3, 1, 0],
+        },
+        Case {
+            name: "one changed, one is new",
+            partial: &[&[(7, 5), (9, 2)]],
+            expected: [5, 1, 2],
+        },
+        Case {
+            name: "one changed and changed back",
+            partial: &[&[(7, 5)], &[(8, 0)]],
+            expected: [3, 0, 0],
+        },
+    ];
+    for case in cases {
+        let mut sums = Sums::default();
+        sums.take_local(ip(2), loads(&[(7, 3), (8, 1)]), false, at(0));
+        for partial in case.partial {
+            sums.take_local(ip(2), loads(partial), true, at(30));
+        }
+        let (reports, _) = sums.without(ip(1), &[7, 8, 9], at(60));
+        let busy: Vec<u32> = reports.iter().map(|report| report.busy).collect();
+        assert_eq!(busy, case.expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn reports_of_vms_that_went_silent_no_longer_count() {
     let mut sums = Sums::default();
-    sums.take_local(ip(1), vec![load(7, 1)], at(0));
-    sums.take_local(ip(2), vec![load(7, 2)], at(900));
-    let (loads, contributors) = sums.local(at(1100));
-    assert_eq!((loads[0].busy, contributors), (2, 1));
+    sums.take_local(ip(1), loads(&[(7, 1)]), false, at(0));
+    sums.take_local(ip(2), loads(&[(7, 2)]), false, at(900));
+    let (sum, contributors) = sums.local(at(1100));
+    assert_eq!((sum[&7].busy, contributors), (2, 1));
     assert_eq!(sums.reporters(at(1100)), [ip(2)]);
 }
+
+#[test]
+fn loads_survive_columns() {
+    let full = Reported {
+        open: 3,
+        busy: 2,
+        unanswered: 1,
+        is_alive: true,
+    };
+    let sent = Loads::from([(7, full), (8, Reported::default())]);
+    assert_eq!(columns::read(&columns::tagged(&sent), &[]), Some(sent));
+    let untagged = columns::untagged(&[Reported::default(), full]);
+    let read = columns::read(&untagged, &[4, 5]).unwrap();
+    assert_eq!((read[&4], read[&5]), (Reported::default(), full));
+}
+
+#[test]
+fn columns_of_other_endpoints_are_refused() {
+    let untagged = columns::untagged(&[Reported::default(); 3]);
+    assert_eq!(columns::read(&untagged, &[4, 5]), None);
+    let mut cut = columns::tagged(&loads(&[(7, 1), (8, 1)]));
+    cut.busy.pop();
+    assert_eq!(columns::read(&cut, &[]), None);
+}
+
+#[test]
+fn heartbeats_keep_to_the_budget() {
+    struct Case {
+        name: &'static str,
+        lens: [usize; 2],
+        vms: usize,
+        expected_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "small reports in a small data centre",
+            lens: [60, 100],
+            vms: 10,
+            expected_ms: 50,
+        },
+        Case {
+            name: "many VMs share a hub",
+            lens: [60, 100],
+            vms: 80,
+            expected_ms: 100,
+        },
+        Case {
+            name: "large answers",
+            lens: [72, 1072],
+            vms: 10,
+            expected_ms: 200,
+        },
+        Case {
+            name: "never so seldom that hubs forget the VM",
+            lens: [9000, 9000],
+            vms: 10,
+            expected_ms: 500,
+        },
+    ];
+    for case in cases {
+        let mut pace = Pace::default();
+        pace.note_beat(case.lens[0]);
+        pace.note_digest(case.lens[1]);
+        let interval = pace.interval(case.vms);
+        assert_eq!(
+            interval.as_millis() as u64,
+            case.expected_ms,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -115,6 +115,7 @@
         packet_address: any,
         ready_address: any,
         peer_address,
+        advertised_ip: *peer_address.ip(),
         metrics_address: any,
         platform_address: any,
         seeds: seeds.iter().map(|seed| *seed.ip()).collect(),
--- a/crates/steering/tests/settings.rs
+++ b/crates/steering/tests/settings.rs
@@ -22,6 +22,10 @@
     assert_eq!(settings.seeds[1], Ipv4Addr::new(10, 2, 0, 40));
     assert_eq!(settings.stop_timeout, Duration::from_secs(6));
     assert_eq!(settings.weight, 11_900);
+    assert_eq!(settings.advertised_ip, Ipv4Addr::new(10, 1, 0, 1));
+    let text = GOOD.replace("\"vm\"", "\"advertised_ip\": \"192.0.2.1\", \"vm\"");
+    let settings = parse("s.json", &text).unwrap();
+    assert_eq!(settings.advertised_ip, Ipv4Addr::new(192, 0, 2, 1));
 }
 
 #[test]
@@ -37,6 +41,11 @@
             to: "entry:8172",
             fault: expect!["s.json: packet_address: expected IPv4:port, found entry:8172"],
         },
+        Case {
+            from: "\"vm-1\"",
+            to: "\"vm-1\", \"advertised_ip\": \"10.1.0.1:7720\"",
+            fault: expect!["s.json: advertised_ip: expected IPv4, found 10.1.0.1:7720"],
+        },
         Case {
             from: "10.2.0.40:8166",
             to: "10.2.0.40:0",
@@ -63,7 +72,7 @@
             from: "\"vm\"",
             to: "\"name\"",
             fault: expect![
-                "s.json: name: expected a document as docs/OPERATIONS.md describes, found unknown field `name`, expected one of `vm`, `data_centre`, `packet_address`, `ready_address`, `peer_address`, `metrics_address`, `platform_address`, `seeds`, `is_first_start`, `stop_timeout_s`, `flow_lifetime_s`, `link_mbps`, `cpu_share` at line 2 column 8"
+                "s.json: name: expected a document as docs/OPERATIONS.md describes, found unknown field `name`, expected one of `vm`, `data_centre`, `packet_address`, `ready_address`, `peer_address`, `metrics_address`, `platform_address`, `seeds`, `is_first_start`, `stop_timeout_s`, `flow_lifetime_s`, `link_mbps`, `cpu_share`, `advertised_ip` at line 2 column 8"
             ],
         },
     ];
--- a/crates/testbed/src/soak/faults.rs
+++ b/crates/testbed/src/soak/faults.rs
@@ -11,11 +11,11 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::sleep;
 
-use super::World;
 use super::endpoint::{Link, SERVICES};
 use super::promises::Routes;
 use super::proxy::Fault;
 use super::store::Mode;
+use super::{World, vms};
 
 /// Many requests on a flow; an even port.
 pub(crate) const LEDGER_FEED: SocketAddrV4 = address(1, 8080);
@@ -56,9 +56,13 @@
     Dark,
     LateEndpoint,
     Reuse,
+    Apart,
+    Alone,
+    Deaf,
+    Poor,
 }
 
-const KINDS: [Kind; 17] = [
+const KINDS: [Kind; 21] = [
     Kind::Kill,
     Kind::KillAll,
     Kind::Pause,
@@ -76,6 +80,10 @@
     Kind::Dark,
     Kind::LateEndpoint,
     Kind::Reuse,
+    Kind::Apart,
+    Kind::Alone,
+    Kind::Deaf,
+    Kind::Poor,
 ];
 
 #[derive(Clone, Copy, Debug)]
@@ -182,6 +190,18 @@
             sleep(time).await;
             world.endpoints.set_link(endpoint, Link::Well);
         }
+        Kind::Apart => {
+            let is_between =
+                |(from, to): &(u8, u8)| vms::data_centre(*from) != vms::data_centre(*to);
+            cut(world, time, is_between).await;
+        }
+        Kind::Alone => cut(world, time, |(from, to)| [*from, *to].contains(&number)).await,
+        Kind::Deaf => cut(world, time, |(_, to)| *to == number).await,
+        Kind::Poor => {
+            world.wires.set_poor(number, true);
+            sleep(time).await;
+            world.wires.set_poor(number, false);
+        }
         Kind::Reuse => {
             let other = SERVICES
                 .iter()
@@ -200,6 +220,18 @@
     Ok(())
 }
 
+/// Cuts wires between VMs for a time.
+async fn cut(world: &World, time: Duration, is_cut: impl Fn(&(u8, u8)) -> bool) {
+    let vms = 1..=world.options.vms;
+    let pairs = vms
+        .clone()
+        .flat_map(|from| vms.clone().map(move |to| (from, to)));
+    let pairs: Vec<(u8, u8)> = pairs.filter(is_cut).collect();
+    world.wires.set_cut(&pairs, true);
+    sleep(time).await;
+    world.wires.set_cut(&pairs, false);
+}
+
 /// Ends an endpoint without notice and starts another at its address.
 async fn crash(world: &World, endpoint: u8, unnoticed: Duration) -> std::io::Result<()> {
     let Some(service) = world.endpoints.service(endpoint) else {
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod proxy;
 mod store;
 mod vms;
+mod wires;
 
 use std::io::ErrorKind;
 use std::net::Ipv4Addr;
@@ -70,12 +71,13 @@
     pub(crate) store: Arc<Store>,
     pub(crate) promises: Arc<Promises>,
     pub(crate) vms: vms::Vms,
+    pub(crate) wires: wires::Wires,
     pub(crate) endpoints: endpoint::Fleet,
 }
 
 impl World {
     /// Returns an address of the run: VMs are in group 1, callers in 2, endpoints in 3,
-    /// the store and its proxies in 4.
+    /// the store and its proxies in 4, wires to VMs in 5.
     pub(crate) fn ip(&self, group: u8, number: u8) -> Ipv4Addr {
         ip(self.subnet, group, number)
     }
@@ -98,6 +100,7 @@
         subnet,
         folder: folder.path().to_owned(),
         vms: vms::Vms::new(options.vms),
+        wires: wires::Wires::default(),
         endpoints: endpoint::Fleet::new(subnet, store.clone(), promises.clone()),
         store,
         promises,
@@ -106,6 +109,7 @@
     world.endpoints.start_all().await?;
     for number in 1..=world.options.vms {
         proxy::start(&world, number).await?;
+        wires::start(&world, number).await?;
         world.vms.start(&world, number)?;
     }
     let mut random = StdRng::seed_from_u64(world.options.seed);
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -69,14 +69,15 @@
         let address = |port| SocketAddrV4::new(world.ip(1, number), port).to_string();
         let seed = |place: u8| {
             let other = 1 + (number + turn + place) % self.count;
-            SocketAddrV4::new(world.ip(1, other), port::PEER).to_string()
+            SocketAddrV4::new(world.ip(5, other), port::PEER).to_string()
         };
         let settings = json!({
             "vm": format!("vm-{number}"),
-            "data_centre": if number.is_multiple_of(2) { "dc-a" } else { "dc-b" },
+            "data_centre": data_centre(number),
             "packet_address": address(port::PACKET),
             "ready_address": address(port::READY),
             "peer_address": address(port::PEER),
+            "advertised_ip": world.ip(5, number),
             "metrics_address": address(port::METRICS),
             "platform_address": format!("{}:{}", world.ip(4, 10 + number), port::STORE),
             "seeds": [seed(0), seed(1), seed(2)],
@@ -181,6 +182,15 @@
     }
 }
 
+/// Returns the data centre that a VM stands in.
+pub(crate) fn data_centre(number: u8) -> &'static str {
+    if number.is_multiple_of(2) {
+        "dc-a"
+    } else {
+        "dc-b"
+    }
+}
+
 fn settings_path(world: &World, number: u8) -> std::path::PathBuf {
     world.folder.join(format!("vm-{number}.json"))
 }
