Let the soak's check of refusals know how long a lapse lasted

The logs show them in the last 40 to 120 ms before VMs learn that the entries are back: removed at 11.18 (a lapse of 1.24 s, window of use 1.2 s), refused from 11.583, known again at 11.623. The check forgot the lapse when the stand-in wrote the entries, before any VM could know.

Change: after a lapse longer than 1 s, refusals count again 3 s after the return, the bound for a change to be in force; shorter lapses and the first second count as before.

--- a/crates/testbed/src/soak/endpoint.rs
+++ b/crates/testbed/src/soak/endpoint.rs
@@ -26,6 +26,9 @@
 /// Time after entries lapsed in which VMs have to use their endpoints nevertheless.
 const LAPSE_BOUND: Duration = Duration::from_millis(1000);
 
+/// Time after the return of entries in which VMs learn of it.
+const RETURN_BOUND: Duration = Duration::from_millis(3000);
+
 /// What an endpoint does to packets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Link {
@@ -56,8 +59,26 @@
     promises: Arc<Promises>,
     endpoints: Arc<Mutex<HashMap<u8, Endpoint>>>,
     next_id: Mutex<u64>,
-    /// Set while all entries are missing.
-    lapsed_at: Mutex<Option<Instant>>,
+    lapse: Mutex<Option<Lapse>>,
+}
+
+/// The last time at which all entries were missing.
+#[derive(Clone, Copy, Debug)]
+struct Lapse {
+    at: Instant,
+    returned_at: Option<Instant>,
+}
+
+impl Lapse {
+    /// Returns whether VMs may take the endpoints as gone.
+    fn may_count(&self) -> bool {
+        let returned_at = self.returned_at.unwrap_or_else(Instant::now);
+        let is_long = returned_at - self.at >= LAPSE_BOUND;
+        let is_known = self
+            .returned_at
+            .is_some_and(|at| at.elapsed() > RETURN_BOUND);
+        is_long && !is_known
+    }
 }
 
 /// What the task of one endpoint needs.
@@ -78,7 +99,7 @@
             promises,
             endpoints: Arc::default(),
             next_id: Mutex::new(0x7f3a_0000),
-            lapsed_at: Mutex::default(),
+            lapse: Mutex::default(),
         }
     }
 
@@ -182,7 +203,10 @@
 
     /// Removes all entries, as when they lapse while the store is away.
     pub(crate) fn lapse_all(&self) {
-        *self.lapsed_at.lock().unwrap() = Some(Instant::now());
+        *self.lapse.lock().unwrap() = Some(Lapse {
+            at: Instant::now(),
+            returned_at: None,
+        });
         for endpoint in self.endpoints.lock().unwrap().values() {
             self.store.remove(&wire::endpoint_key(endpoint.id));
         }
@@ -193,7 +217,9 @@
         for (number, endpoint) in self.endpoints.lock().unwrap().iter() {
             self.register(*number, endpoint);
         }
-        *self.lapsed_at.lock().unwrap() = None;
+        if let Some(lapse) = self.lapse.lock().unwrap().as_mut() {
+            lapse.returned_at = Some(Instant::now());
+        }
     }
 
     /// Changes what an endpoint does to packets.
@@ -219,13 +245,13 @@
 
     /// Returns whether VMs have to find an endpoint of a service.
     pub(crate) fn can_serve(&self, service: &str) -> bool {
-        let lapsed_at = *self.lapsed_at.lock().unwrap();
+        let is_lapsed = self.lapse.lock().unwrap().is_some_and(|it| it.may_count());
         let endpoints = self.endpoints.lock().unwrap();
         let mut lives = endpoints.values().filter(|endpoint| {
             let is_known = endpoint.started_at.elapsed() > UNDISTURBED;
             endpoint.service == service && !endpoint.is_draining && is_known
         });
-        lives.next().is_some() && lapsed_at.is_none_or(|at| at.elapsed() < LAPSE_BOUND)
+        lives.next().is_some() && !is_lapsed
     }
 
     fn ip(&self, number: u8) -> Ipv4Addr {
