One data centre reads the store for all

Ruled out: longer waits of a watch (one that hangs is found after its wait, and changes have 3 s to be in force).

Change: the first VM of the first data centre that is alive reads; the first VMs of the others step in when their catalog is 1.6 s old, as the second reader of a data centre did already. After each answer without a change the reader tells the other hubs, so that their catalogs stay younger than that.

--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -92,6 +92,22 @@
         }
     }
 
+    /// Tells other hubs that this VM's catalog is current, as their data centres do not read
+    /// for themselves.
+    pub fn confirm(&self) {
+        let now = Moment::now();
+        let hubs = {
+            let members = self.members.lock().unwrap();
+            let mut hubs = members.hubs(HUBS, now);
+            hubs.extend(members.foreign_hubs(now));
+            hubs
+        };
+        let frame = self.frame(frame::Body::Digest(Digest::default()), now);
+        for hub in hubs {
+            self.send(hub, &frame);
+        }
+    }
+
     /// Tells hubs that this VM stops.
     pub fn leave(&self) {
         let now = Moment::now();
--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -193,6 +193,13 @@
         before.count()
     }
 
+    /// Returns whether this VM's data centre is the first of those that are alive, whose
+    /// readers read for all.
+    pub fn is_in_first_data_centre(&self, now: Moment) -> bool {
+        let mut zones = self.foreign_data_centres().into_iter();
+        zones.all(|zone| *zone > *self.data_centre || self.ranked(&zone, now).is_empty())
+    }
+
     /// Returns the first `count` other VMs of this data centre that may serve as hubs.
     pub fn hubs(&self, count: usize, now: Moment) -> Vec<Ipv4Addr> {
         let mut hubs = self.ranked(&self.data_centre, now);
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -1,8 +1,9 @@
 //! Keeps the catalog current from the publisher.
 //!
-//! One VM of a data centre reads; the others learn from it. A VM whose catalog grows old
-//! reads itself, the later the further back it stands in the order of readers, so a reader
-//! that died, froze or lost its path is replaced without an agreement.
+//! One VM of one data centre reads; the others learn from it. A VM whose catalog grows old
+//! reads itself, the later the further back it stands in the order of readers of its data
+//! centre, so a reader that died, froze, lost its path or was cut off is replaced without
+//! an agreement.
 
 use metrics::{counter, histogram};
 use spdlog::{info, warn};
@@ -17,7 +18,8 @@
 /// the age of what the data centre knows.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
-/// Age of the catalog at which the second reader steps in: a watch and its answer.
+/// Age of the catalog at which the first VM of another data centre steps in: a watch, its
+/// answer and the pause to the next.
 const STALE_AFTER: Duration = Duration::from_millis(1600);
 
 /// Further age for each place in the order of readers.
@@ -131,9 +133,11 @@
 
     /// Returns whether this VM has to read now.
     fn is_due(&mut self, now: Moment) -> bool {
-        let (rank, has_company) = {
+        let (rank, has_company, is_first) = {
             let members = self.link.members.lock().unwrap();
-            (members.rank(now) as u32, members.has_company(now))
+            let rank = members.rank(now) as u32;
+            let is_first = rank == 0 && members.is_in_first_data_centre(now);
+            (rank, members.has_company(now), is_first)
         };
         let catalog = self.catalog.lock().unwrap();
         if !catalog.is_loaded() {
@@ -146,7 +150,7 @@
             };
             return now.since(self.started_at) >= patience;
         }
-        if rank == 0 || now < self.stands_in_until {
+        if is_first || now < self.stands_in_until {
             return true;
         }
         let is_stale = catalog.age(now) > STALE_AFTER + STALE_STEP * rank.min(MAX_STEPS);
@@ -218,6 +222,8 @@
         let after = self.catalog.lock().unwrap().revision();
         if after > before {
             self.link.spread(before);
+        } else {
+            self.link.confirm();
         }
     }
 }
--- a/crates/steering/tests/mesh.rs
+++ b/crates/steering/tests/mesh.rs
@@ -41,6 +41,24 @@
     assert_eq!(table.size(at(0)), 3);
 }
 
+#[test]
+fn the_first_data_centre_is_the_first_that_is_alive() {
+    let mut here = table();
+    assert!(here.is_in_first_data_centre(at(0)));
+    here.heard(&member(4, THERE, 900), at(0));
+    assert!(here.is_in_first_data_centre(at(0)));
+    let mut there = Table::new(ip(4), 1, THERE, 100);
+    there.heard(&member(5, THERE, 100), at(0));
+    assert!(there.is_in_first_data_centre(at(0)));
+    there.heard(&member(1, HERE, 100), at(0));
+    assert!(!there.is_in_first_data_centre(at(0)));
+    // Six heartbeats without an answer: it is down, or cut off.
+    for _ in 0..6 {
+        there.note_sent(ip(1));
+    }
+    assert!(there.is_in_first_data_centre(at(300)));
+}
+
 #[test]
 fn a_vm_that_does_not_answer_is_replaced_and_comes_back() {
     let mut table = table();
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use common::{HERE, configuration, entry, ledger, removed, route, written};
+use common::{HERE, THERE, configuration, entry, ledger, removed, route, written};
 use ragwortbeam_base::clock::Moment;
 use ragwortbeam_steering::catalog::{Catalog, Traffic};
 use ragwortbeam_steering::errors::Error;
@@ -132,8 +132,19 @@
 }
 
 impl Vm {
-    /// Starts a VM on its own loopback address.
+    /// Starts a VM of the first data centre on its own loopback address.
     async fn start(last: u8, port: u16, seeds: &[u8], script: Script) -> Self {
+        Self::start_in(HERE, last, port, seeds, script).await
+    }
+
+    /// Starts a VM of any data centre.
+    async fn start_in(
+        data_centre: &str,
+        last: u8,
+        port: u16,
+        seeds: &[u8],
+        script: Script,
+    ) -> Self {
         let address = |last| SocketAddrV4::new([127, 0, 77, last].into(), port);
         let seeds: Vec<SocketAddrV4> = seeds.iter().map(|last| address(*last)).collect();
         let settings = settings(address(last), &seeds);
@@ -141,7 +152,7 @@
         let listener = TcpListener::bind(settings.peer_address).await.unwrap();
         let catalog: Arc<Mutex<Catalog>> = Arc::default();
         let board: Arc<Mutex<Board>> = Arc::default();
-        let members = Table::new(*settings.peer_address.ip(), 1, HERE, 100);
+        let members = Table::new(*settings.peer_address.ip(), 1, data_centre, 100);
         let members = Arc::new(Mutex::new(members));
         let link = Link::new(&settings, socket, members, catalog.clone(), board);
         let link = Arc::new(link);
@@ -291,3 +302,27 @@
         .until(limit, "without endpoint 1", |it| ready(it) == [2])
         .await;
 }
+
+#[tokio::test]
+async fn one_data_centre_reads_for_all_until_it_no_longer_answers() {
+    let reading = Script::of([Answer::Is(everything(10, &[1, 2]))]);
+    let first = Vm::start_in(HERE, 9, 17709, &[], reading.clone()).await;
+    first.until(SOON, "loaded", Catalog::is_loaded).await;
+    let script = Script::of([]);
+    let second = Vm::start_in(THERE, 10, 17709, &[9], script.clone()).await;
+    second.until(SOON, "loaded", Catalog::is_loaded).await;
+    sleep(Duration::from_millis(1500)).await;
+    assert_eq!(script.asked.lock().unwrap().len(), 0);
+    let age = second.catalog.lock().unwrap().age(Moment::now());
+    assert!(age < Duration::from_millis(500), "{age:?}");
+    // The first one's store is gone for good.
+    let refusals = (0..1000).map(|_| Answer::Refused);
+    reading.answers.lock().unwrap().extend(refusals);
+    let change = changed(11, vec![removed(1, 11)]);
+    script.answers.lock().unwrap().push_back(Answer::Is(change));
+    let limit = Duration::from_secs(3);
+    for vm in [&first, &second] {
+        vm.until(limit, "without endpoint 1", |it| ready(it) == [2])
+            .await;
+    }
+}
