Undo three circles between modules of the request path

Change: moves of feeds stand in dispatch/relocation, above feed and notify, and notify says with an Outcome that an endpoint ended a feed; the at-most-once rule stands in flow/at_most_once, above the types of exchange and record; errors names the Fault of base.

Conclusion: each of these modules now uses only those below it.

--- a/crates/ragwortbeam/src/backend/keepalive.rs
+++ b/crates/ragwortbeam/src/backend/keepalive.rs
@@ -8,7 +8,7 @@
 
 use super::Link;
 use crate::clock;
-use crate::dispatch::feed;
+use crate::dispatch::relocation;
 use crate::flow::Key;
 use crate::prelude::*;
 
@@ -66,7 +66,7 @@
         counter!("ragwortbeam_feeds_reestablished_total", "cause" => cause).increment(1);
         let node = node.clone();
         tokio::spawn(async move {
-            feed::register_again(&node, key, token, None).await;
+            relocation::register_again(&node, key, token, None).await;
         });
     }
 }
--- a/crates/ragwortbeam/src/backend/leaving.rs
+++ b/crates/ragwortbeam/src/backend/leaving.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::sleep;
 
-use crate::dispatch::feed;
+use crate::dispatch::relocation;
 use crate::prelude::*;
 use crate::release::State;
 
@@ -42,7 +42,7 @@
         for token in tokens.unwrap_or_default() {
             let node = node.clone();
             tokio::spawn(async move {
-                feed::register_again(&node, key, token, Some(endpoint)).await;
+                relocation::register_again(&node, key, token, Some(endpoint)).await;
             });
         }
     }
--- a/crates/ragwortbeam/src/dispatch/feed.rs
+++ b/crates/ragwortbeam/src/dispatch/feed.rs
@@ -4,8 +4,6 @@
 
 use coap_lite::Packet;
 use metrics::counter;
-use spdlog::{info, warn};
-use tokio::time::sleep;
 
 use super::pool::{End, Lease};
 use crate::clock;
@@ -17,20 +15,14 @@
 use crate::wire::coap::{self, Token};
 
 /// Time allowed for one registration at an endpoint that replaces an earlier one.
-const REGISTER_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Pause between attempts to register a feed again.
-const REGISTER_PAUSE: Duration = Duration::from_millis(250);
-
-/// Longest pause between such attempts.
-const MAX_REGISTER_PAUSE: Duration = Duration::from_secs(2);
+pub(super) const REGISTER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Width of the Observe value (RFC 7641, section 3.4).
 const SEQUENCE_MASK: u32 = 0x00ff_ffff;
 
 /// How a registration gets its slot.
 #[derive(Clone, Copy, Debug)]
-enum Admission {
+pub(super) enum Admission {
     /// In turn with other requests.
     New,
     /// At once, as the feed was admitted before and its caller waits for no answer.
@@ -41,10 +33,13 @@
 }
 
 /// A registration that an endpoint has accepted or answered plainly.
-struct Registration {
-    answer: Packet,
-    endpoint: id::Endpoint,
-    leg: u64,
+pub(super) struct Registration {
+    /// The endpoint's answer.
+    pub(super) answer: Packet,
+    /// Endpoint.
+    pub(super) endpoint: id::Endpoint,
+    /// Token towards it.
+    pub(super) leg: u64,
 }
 
 /// Registers a caller's observation at an endpoint and returns the first answer.
@@ -119,79 +114,9 @@
     }
 }
 
-/// Registers a feed at an endpoint other than `avoided` and forwards its answer to the
-/// caller as a notification; the earlier registration ends only then. Tries for as long
-/// as this VM serves the feed.
-pub async fn register_again(
-    node: &Arc<Node>,
-    key: Key,
-    token: Token,
-    avoided: Option<id::Endpoint>,
-) {
-    let mut pause = REGISTER_PAUSE;
-    loop {
-        let feed = node.flows.with(key, |record| {
-            let is_owned = record.is_owned;
-            record.feed_mut(token).filter(|_| is_owned).cloned()
-        });
-        let Some(feed) = feed.flatten() else {
-            return;
-        };
-        if try_register_again(node, key, &feed, avoided).await {
-            return;
-        }
-        warn!("event=feed_without_endpoint caller={}", key.caller);
-        sleep(pause).await;
-        pause = (pause * 2).min(MAX_REGISTER_PAUSE);
-    }
-}
-
-async fn try_register_again(
-    node: &Arc<Node>,
-    key: Key,
-    feed: &Feed,
-    avoided: Option<id::Endpoint>,
-) -> bool {
-    let state = node.releases.state();
-    let Some(service) = state.service(key.service) else {
-        return false;
-    };
-    let Ok(request) = coap::decode(&feed.request) else {
-        return true;
-    };
-    let deadline = Instant::now() + REGISTER_TIMEOUT;
-    let admission = Admission::Established { avoided };
-    let registered = register_anywhere(node, service, key, &request, admission, deadline).await;
-    let registration = match registered {
-        Ok(registration) if coap::observe(&registration.answer).is_some() => registration,
-        _ => return false,
-    };
-    let (endpoint, leg) = (registration.endpoint, registration.leg);
-    let replaced = node.flows.with(key, |record| {
-        if !record.is_owned {
-            return None;
-        }
-        let feed = record.feed_mut(feed.token)?;
-        let before = feed.leg.replace(leg).map(|leg| (feed.endpoint, leg));
-        feed.endpoint = endpoint;
-        Some(before)
-    });
-    let Some(Some(before)) = replaced else {
-        // The caller has ended the feed, or another VM serves it by now.
-        end_leg(node, key.service, endpoint, leg);
-        return true;
-    };
-    if let Some((endpoint, leg)) = before {
-        end_leg(node, key.service, endpoint, leg);
-    }
-    counter!("ragwortbeam_feeds_moved_total").increment(1);
-    info!("event=feed_moved caller={} endpoint={endpoint}", key.caller);
-    node.replicas.push(key);
-    super::notify::notified(node, key, leg, registration.answer);
-    true
-}
-
-async fn register_anywhere(
+/// Registers an observation at one endpoint after the other until one accepts it or the
+/// deadline passes.
+pub(super) async fn register_anywhere(
     node: &Arc<Node>,
     service: &Service,
     key: Key,
--- a/crates/ragwortbeam/src/dispatch/mod.rs
+++ b/crates/ragwortbeam/src/dispatch/mod.rs
@@ -6,9 +6,10 @@
 pub mod feed;
 mod notify;
 pub mod pool;
+pub mod relocation;
 pub mod requests;
 mod reserve;
 pub mod retry;
 
-pub use notify::notified;
 pub use pool::Pools;
+pub use relocation::notified;
--- a/crates/ragwortbeam/src/dispatch/notify.rs
+++ b/crates/ragwortbeam/src/dispatch/notify.rs
@@ -22,10 +22,19 @@
 /// MAX_RETRANSMIT of RFC 7252, section 4.8.
 pub const MAX_RETRANSMIT: u32 = 4;
 
+/// What became of a notification.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is on its way to the caller.
+    Forwarded,
+    /// It is an error, with which the endpoint ended the feed with this token.
+    Ended(Token),
+    /// No feed has its token; the endpoint is told to stop.
+    Unknown,
+}
+
 /// Forwards a notification that arrived with this token from an endpoint.
-///
-/// Returns whether a feed has the token; the endpoint is told to stop otherwise.
-pub fn notified(node: &Arc<Node>, key: Key, leg: u64, mut packet: Packet) -> bool {
+pub fn forward(node: &Arc<Node>, key: Key, leg: u64, mut packet: Packet) -> Outcome {
     let is_success = coap::is_success(&packet);
     let wants_confirmation = packet.header.get_type() == MessageType::Confirmable;
     let outcome = node.flows.with(key, |record| {
@@ -40,19 +49,17 @@
         Some((token, Some(coap::encode(&packet)), starts))
     });
     let Some(Some((token, datagram, starts_confirmation))) = outcome else {
-        return false;
+        return Outcome::Unknown;
     };
-    match datagram {
-        Some(datagram) => {
-            counter!("ragwortbeam_notifications_total").increment(1);
-            node.entry.send(key, &datagram);
-            if starts_confirmation {
-                tokio::spawn(confirm(node.clone(), key, token));
-            }
-        }
-        None => leave_endpoint(node, key, leg, token),
+    let Some(datagram) = datagram else {
+        return Outcome::Ended(token);
+    };
+    counter!("ragwortbeam_notifications_total").increment(1);
+    node.entry.send(key, &datagram);
+    if starts_confirmation {
+        tokio::spawn(confirm(node.clone(), key, token));
     }
-    true
+    Outcome::Forwarded
 }
 
 /// Addresses a notification to the caller; returns whether its confirmation starts.
@@ -134,16 +141,3 @@
         .iter_mut()
         .find(|feed| feed.last_message_id == message_id)
 }
-
-/// Moves a feed whose endpoint has ended it with an error.
-fn leave_endpoint(node: &Arc<Node>, key: Key, leg: u64, token: Token) {
-    let left = node.flows.with(key, |record| {
-        let feed = record.feed_by_leg_mut(leg)?;
-        feed.leg = None;
-        Some(feed.endpoint)
-    });
-    let node = node.clone();
-    tokio::spawn(async move {
-        feed::register_again(&node, key, token, left.flatten()).await;
-    });
-}
--- a/crates/ragwortbeam/src/dispatch/requests.rs
+++ b/crates/ragwortbeam/src/dispatch/requests.rs
@@ -10,7 +10,7 @@
 use super::reserve::{self, Outcome, Permit};
 use super::{feed, notify};
 use crate::flow::Key;
-use crate::flow::exchange::Start;
+use crate::flow::at_most_once::Start;
 use crate::flow::record::Transfer;
 use crate::prelude::*;
 use crate::refusal::{Reason, Refusal};
--- a/crates/ragwortbeam/src/errors.rs
+++ b/crates/ragwortbeam/src/errors.rs
@@ -1,9 +1,9 @@
 //! The crate's error type.
 
 use derive_more::{Display, Error};
+use ragwortbeam_base::document;
 
 use crate::release;
-use crate::settings;
 
 /// Result with the crate's error, unless another is named.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -16,7 +16,7 @@
 pub enum Error {
     /// The settings file is wrong; the operator has to change it.
     #[display("{_0}")]
-    Settings(#[error(not(source))] settings::Fault),
+    Settings(#[error(not(source))] document::Fault),
     /// A release note or snapshot is wrong; the publisher has to change it.
     #[display("{_0}")]
     Release(#[error(not(source))] release::Fault),
--- a/crates/ragwortbeam/src/flow/handover.rs
+++ b/crates/ragwortbeam/src/flow/handover.rs
@@ -8,7 +8,7 @@
 
 use super::replication::{self, RECORDS_PER_CALL};
 use super::{Key, Record};
-use crate::dispatch::{datagrams, feed};
+use crate::dispatch::{datagrams, feed, relocation};
 use crate::membership::View;
 use crate::message::{FlowRecord, Records};
 use crate::prelude::*;
@@ -292,7 +292,7 @@
             let node = node.clone();
             let key = *key;
             registrations.push(tokio::spawn(async move {
-                feed::register_again(&node, key, token, None).await;
+                relocation::register_again(&node, key, token, None).await;
             }));
         }
         node.replicas.push(*key);
--- a/crates/ragwortbeam/src/flow/mod.rs
+++ b/crates/ragwortbeam/src/flow/mod.rs
@@ -1,5 +1,6 @@
 //! Flows: their records, owners, replicas and moves between VMs.
 
+pub mod at_most_once;
 pub mod exchange;
 pub mod handover;
 pub mod key;
--- a/crates/ragwortbeam/src/flow/replication.rs
+++ b/crates/ragwortbeam/src/flow/replication.rs
@@ -8,7 +8,8 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-use super::exchange::{Exchange, Start};
+use super::at_most_once::Start;
+use super::exchange::Exchange;
 use super::{Key, Record};
 use crate::clock;
 use crate::message::{ExchangeRecord, FlowRecord, Records, Reservation, ReservationAnswer};
--- a/crates/ragwortbeam/tests/exchanges.rs
+++ b/crates/ragwortbeam/tests/exchanges.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use ragwortbeam::flow::exchange::{Exchange, Progress, Start};
+use ragwortbeam::flow::at_most_once::Start;
+use ragwortbeam::flow::exchange::{Exchange, Progress};
 use ragwortbeam::flow::{Key, Record};
 use ragwortbeam::id;
 
