--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod capacity;
+pub mod ceiling;
 pub mod checker;
 pub mod crest;
 pub mod demo;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use ragwortbeam_testbed::ceiling::{self, Class};
 use ragwortbeam_testbed::{capacity, crest, demo, faults, soak, spread, throughput};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
@@ -26,6 +27,7 @@
     Demo(Demo),
     Faults(Faults),
     Capacity(Capacity),
+    Ceiling(Ceiling),
     Throughput(Throughput),
     Spread(Spread),
     Crest(Crest),
@@ -61,6 +63,40 @@
 #[argh(subcommand, name = "capacity")]
 struct Capacity {}
 
+/// Model what the best placement could serve.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "ceiling")]
+struct Ceiling {
+    /// kind of request, per_s:work_ms:aim_ms:deadline_ms:worth:late_worth:round_trips:flows;
+    /// may be given more than once
+    #[argh(option)]
+    class: Vec<Class>,
+    /// number of endpoints
+    #[argh(option, default = "14")]
+    endpoints: usize,
+    /// requests that an endpoint processes at once
+    #[argh(option, default = "3")]
+    slots: usize,
+    /// length of the day, seconds
+    #[argh(option, default = "58.0")]
+    length_s: f64,
+    /// part of the mean rate by which it swings
+    #[argh(option, default = "0.55")]
+    swing: f64,
+    /// period of the swing, seconds
+    #[argh(option, default = "15.0")]
+    period_s: f64,
+    /// time from which no VM runs, seconds
+    #[argh(option, default = "41.0")]
+    outage_at_s: f64,
+    /// time for which none runs, seconds; 0 for no outage
+    #[argh(option, default = "0.0")]
+    outage_s: f64,
+    /// number of days with other luck
+    #[argh(option, default = "5")]
+    days: u64,
+}
+
 /// Compare packet rates of nodes with a bare relay.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "throughput")]
@@ -128,6 +164,7 @@
             capacity::run(ALLOCATOR);
             Ok(true)
         }
+        Command::Ceiling(ceiling) => Ok(model(&ceiling)),
         Command::Throughput(_) => runtime.block_on(throughput::run()),
         Command::Spread(spread) => runtime.block_on(spread::run(spread.vms)),
         Command::Crest(crest) => runtime.block_on(crest::run(&crest.policy)),
@@ -158,6 +195,25 @@
     }
 }
 
+/// Prints what each day of the model came to.
+fn model(options: &Ceiling) -> bool {
+    for seed in 1..=options.days {
+        let outcome = ceiling::play(&ceiling::Day {
+            seed,
+            classes: options.class.clone(),
+            endpoints: options.endpoints,
+            slots: options.slots,
+            length_s: options.length_s,
+            swing: options.swing,
+            period_s: options.period_s,
+            outage_at_s: options.outage_at_s,
+            outage_s: options.outage_s,
+        });
+        println!("seed={seed} {outcome:?}");
+    }
+    true
+}
+
 /// Runs a command of the product in a process that the testbed has started.
 fn run_product(command: &str) -> ExitCode {
     let mut words: Vec<String> = std::env::args().skip(1).collect();
