Watch every opening packet for its answer; log what a merge changed

Cause: a copy sent to the same living endpoint was not among the openings that are watched, so a second loss on it showed only with the next copy. What a merge changed was counted for tests alone, while the log named no VM that a change came from.

Change: each opening that is sent on is watched. event=catalog_merged says from whom a change came, how old the sender's knowledge was and what it changed.

Measured: the extended test finds 0 unanswered packets before and 1 after.

--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -11,7 +11,7 @@
 
 use super::{Change, Configuration, Endpoint, Entry, Item, Key, Removal, Route, address_mask, tag};
 
-/// What a merge changed.
+/// What a merge changed; nothing by default.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Merge {
     /// Entries taken.
@@ -20,13 +20,6 @@
     pub configuration: bool,
 }
 
-impl Merge {
-    /// Returns whether anything changed.
-    pub fn is_change(self) -> bool {
-        self.configuration || self.endpoints > 0
-    }
-}
-
 /// Routes and endpoints with the revision that they include.
 #[derive(Debug, Default)]
 pub struct Catalog {
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -206,7 +206,11 @@
                 && changed_after <= before
                 && view.revision > before
             {
-                catalog.merge(&changes, now);
+                let merge = catalog.merge(&changes, now);
+                info!(
+                    "event=catalog_merged from={ip} after={changed_after} revision={} age_ms={} endpoints={} configuration={}",
+                    view.revision, view.age_ms, merge.endpoints, merge.configuration
+                );
                 if changed_after == 0 {
                     let present: Vec<u64> = changes.endpoints.iter().map(|it| it.id).collect();
                     catalog.remove_missing(&present, view.revision, now, Duration::ZERO);
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -211,6 +211,7 @@
                 if let Some(flow) = earlier {
                     flow.reopen(key, packet, now);
                 }
+                self.openings.lock().unwrap().push_back((ends, now));
                 return forward(catalog, key, Some(packet.destination));
             }
             avoid = [Some(flow.endpoint), flow.tried];
--- a/crates/steering/tests/catalog.rs
+++ b/crates/steering/tests/catalog.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{HERE, at, configuration, entry, ledger, removed, route, vault, written};
-use ragwortbeam_steering::catalog::{Catalog, Change, Item, Traffic, address_mask, tag};
+use ragwortbeam_steering::catalog::{Catalog, Change, Item, Merge, Traffic, address_mask, tag};
 
 const HOLD: Duration = Duration::from_millis(2200);
 
@@ -181,11 +181,8 @@
         let cold_for = |moment: ragwortbeam_base::clock::Moment| moment.since(at(100));
         assert_eq!(cold_for(copy.warm_at), cold_for(endpoint.warm_at));
     }
-    assert!(
-        !other
-            .merge(&catalog.changed_after(0, at(100)), at(100))
-            .is_change()
-    );
+    let again = other.merge(&catalog.changed_after(0, at(100)), at(100));
+    assert_eq!(again, Merge::default());
     assert!(catalog.changed_after(9, at(100)).endpoints.is_empty());
 }
 
--- a/crates/steering/tests/steering.rs
+++ b/crates/steering/tests/steering.rs
@@ -139,6 +139,11 @@
         .decide(&data(port, ledger(), token, 101, 7), at(20));
     let copy = vm.steering.decide(&opening(1, ledger(), 1), at(200));
     assert_eq!(forwarded(copy).0, first);
+    // It is watched for an answer as the first one was.
+    vm.steering.note_unanswered(at(300));
+    let catalog = vm.catalog.lock().unwrap();
+    let (key, _) = catalog.endpoints().find(|(_, it)| it.id == first).unwrap();
+    assert_eq!(vm.board.lock().unwrap().own(key).unanswered, 1);
 }
 
 #[test]
