--- a/crates/testbed/src/capacity.rs
+++ b/crates/testbed/src/capacity.rs
@@ -86,7 +86,8 @@
     report("handover_plan", "us", handover_plan());
 }
 
-fn report(name: &str, unit: &str, points: Vec<Point>) {
+/// Prints some points and the line through them.
+pub fn report(name: &str, unit: &str, points: Vec<Point>) {
     for point in &points {
         println!("{name} {} {:.1} {unit}", point.x, point.y);
     }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod server;
 pub mod soak;
 pub mod spread;
+pub mod steering_capacity;
 pub mod throughput;
 pub mod world;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -6,7 +6,9 @@
 
 use argh::FromArgs;
 use ragwortbeam_testbed::ceiling::{self, Class};
-use ragwortbeam_testbed::{capacity, crest, demo, faults, soak, spread, throughput};
+use ragwortbeam_testbed::{
+    capacity, crest, demo, faults, soak, spread, steering_capacity, throughput,
+};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
 
@@ -162,6 +164,7 @@
         Command::Demo(_) => runtime.block_on(demo::run()),
         Command::Capacity(_) => {
             capacity::run(ALLOCATOR);
+            steering_capacity::run(ALLOCATOR);
             Ok(true)
         }
         Command::Ceiling(ceiling) => Ok(model(&ceiling)),
--- /dev/null
+++ b/crates/testbed/src/steering_capacity.rs
@@ -0,0 +1,173 @@
+//! Slopes of steering VMs for docs/CAPACITY.md, measured by driving the product's own code.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use prost::Message;
+use ragwortbeam_base::clock::Moment;
+use ragwortbeam_steering::catalog::{Catalog, Change, Entry, Item, Traffic};
+use ragwortbeam_steering::choice::{Wish, choose};
+use ragwortbeam_steering::load::{Board, Loads, Reported};
+use ragwortbeam_steering::mesh::columns;
+use ragwortbeam_steering::subset::Subset;
+use stats_alloc::{Region, StatsAlloc};
+use std::alloc::System;
+
+use crate::capacity::{Point, report};
+
+/// Data centres of the target, and services with endpoints in each.
+const DATA_CENTRES: u64 = 16;
+const SERVICES: u64 = 275;
+
+/// Numbers of endpoints, up to the target's.
+const ENDPOINTS: [u64; 4] = [3000, 12_000, 25_000, 49_000];
+
+/// Repetitions of a timed step; the least time counts, as noise only adds.
+const REPEATS: usize = 5;
+
+const VM: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+
+/// Runs all measurements and prints them; `allocator` counts what they allocate.
+pub fn run(allocator: &'static StatsAlloc<System>) {
+    report("digest", "bytes", digest_bytes());
+    report("load_report", "bytes", report_bytes());
+    report("catalog_memory", "bytes", catalog_memory(allocator));
+    report("subset", "us", subset_time());
+    report("choice", "ns", choice_time());
+}
+
+fn reported(number: u32) -> Reported {
+    Reported {
+        open: number % 30,
+        busy: number % 4,
+        unanswered: 0,
+        is_alive: true,
+    }
+}
+
+/// A hub's loads of the endpoints of a subset.
+fn digest_bytes() -> Vec<Point> {
+    let sizes = [10, 100, 500, 1100];
+    let points = sizes.map(|size| {
+        let reports: Vec<Reported> = (0..size)
+            .map(|number| Reported {
+                is_alive: false,
+                ..reported(number)
+            })
+            .collect();
+        Point {
+            x: f64::from(size),
+            y: columns::untagged(&reports).encoded_len() as f64,
+        }
+    });
+    points.to_vec()
+}
+
+/// What a VM reports of the endpoints whose load has changed.
+fn report_bytes() -> Vec<Point> {
+    let sizes = [1, 10, 50, 200];
+    let points = sizes.map(|size| {
+        let loads: Loads = (0..size)
+            .map(|number| (0x8000_0000 + number, reported(number)))
+            .collect();
+        Point {
+            x: f64::from(size),
+            y: columns::tagged(&loads).encoded_len() as f64,
+        }
+    });
+    points.to_vec()
+}
+
+/// Returns a catalog whose services each have endpoints in one data centre.
+fn catalog(endpoints: u64) -> Catalog {
+    let mut catalog = Catalog::default();
+    for number in 0..endpoints {
+        let data_centre = number % DATA_CENTRES;
+        let service = number / DATA_CENTRES % SERVICES;
+        let entry = Entry {
+            service: service_name(data_centre, service),
+            address: SocketAddrV4::new(Ipv4Addr::from(0x0a80_0000 + number as u32), 8080),
+            data_centre: format!("dc-{data_centre}").into(),
+            slots: 2,
+            is_draining: false,
+            warmup_left: Duration::ZERO,
+            born_ms: 1,
+        };
+        let item = Item {
+            endpoint: number,
+            revision: number + 1,
+            change: Change::Written(entry),
+        };
+        catalog.take_item(item, Moment::default(), Duration::ZERO);
+    }
+    catalog.advance(endpoints, Moment::default());
+    catalog
+}
+
+fn service_name(data_centre: u64, service: u64) -> Arc<str> {
+    format!("service-{data_centre}-{service}").into()
+}
+
+fn catalog_memory(allocator: &'static StatsAlloc<System>) -> Vec<Point> {
+    let measure = |endpoints: u64| {
+        let region = Region::new(allocator);
+        let catalog = catalog(endpoints);
+        let change = region.change();
+        black_box(&catalog);
+        Point {
+            x: endpoints as f64,
+            y: change.bytes_allocated as f64 - change.bytes_deallocated as f64,
+        }
+    };
+    ENDPOINTS.map(measure).to_vec()
+}
+
+/// Working out a subset after a change.
+fn subset_time() -> Vec<Point> {
+    let measure = |endpoints: u64| {
+        let catalog = catalog(endpoints);
+        let least = (0..REPEATS).map(|_| {
+            let started_at = Instant::now();
+            black_box(Subset::select(VM, "dc-0", &catalog, Moment::default()));
+            started_at.elapsed()
+        });
+        Point {
+            x: endpoints as f64,
+            y: least.min().unwrap_or_default().as_secs_f64() * 1e6,
+        }
+    };
+    ENDPOINTS.map(measure).to_vec()
+}
+
+/// Choice of an endpoint for one new flow.
+fn choice_time() -> Vec<Point> {
+    const CHOICES: u32 = 10_000;
+    let measure = |endpoints: u64| {
+        let catalog = catalog(endpoints);
+        let subset = Subset::select(VM, "dc-0", &catalog, Moment::default());
+        let board = Board::default();
+        let service = service_name(0, 1);
+        let wish = Wish {
+            service: &service,
+            traffic: Traffic::Idempotent,
+            data_centre: "dc-0",
+            avoid: [None, None],
+        };
+        let mut random = rand::rng();
+        let least = (0..REPEATS).map(|_| {
+            let started_at = Instant::now();
+            for _ in 0..CHOICES {
+                let now = Moment::default();
+                black_box(choose(&wish, &subset, &catalog, &board, now, &mut random));
+            }
+            started_at.elapsed()
+        });
+        Point {
+            x: endpoints as f64,
+            y: least.min().unwrap_or_default().as_secs_f64() * 1e9 / f64::from(CHOICES),
+        }
+    };
+    ENDPOINTS.map(measure).to_vec()
+}
