Failing readers far back in the order call less often

While no VM can read, every VM of a data centre steps in within 3.2 s and calls again each 0.6 s: 36 VMs make 60 calls a second, priced although refused.

Ruled out: fewer steps (a store that turns some VMs away may turn away the first ones); one long sleep (a VM that becomes first meanwhile would not read).

Change: the longest pause grows with each eight places in the order; it is looked at each 50 ms, so a VM that moves up calls at once. The first eight are as before, so sites with up to eight VMs in a data centre behave as before.

--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -40,9 +40,12 @@
 /// Pause after a failed reading; doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest pause after failed readings.
+/// Longest pause after failed readings, for the first [`MAX_STEPS`] VMs of a data centre.
 const MAX_PAUSE: Duration = Duration::from_millis(600);
 
+/// Longest pause after failed readings, for any VM: about that of the last of 400 VMs.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+
 /// Pause between two watches, so that changes in quick succession come in one answer.
 const WATCH_PAUSE: Duration = Duration::from_millis(120);
 
@@ -65,6 +68,14 @@
 /// Time after the store's return in which entries that lapsed are put back.
 const LAPSE_HOLD: Duration = Duration::from_millis(2200);
 
+/// Returns the longest pause after failed readings of a VM at this place in the order.
+///
+/// It grows with the place, so that the calls of a data centre that is cut off from the
+/// store hardly grow with its VMs; the first ones find the store's return soon enough.
+pub fn max_pause(rank: u32) -> Duration {
+    MAX_PAUSE * (1 + rank / MAX_STEPS)
+}
+
 /// Reads the publisher for one VM.
 pub struct Reader {
     publisher: Box<dyn Publisher>,
@@ -74,6 +85,9 @@
     is_first_start: bool,
     returned_at: Option<Moment>,
     stands_in_until: Moment,
+    failed_at: Moment,
+    /// Pause after the last failed reading; zero after a good one.
+    pause: Duration,
 }
 
 impl Reader {
@@ -92,12 +106,13 @@
             is_first_start: settings.is_first_start,
             returned_at: None,
             stands_in_until: Moment::default(),
+            failed_at: Moment::default(),
+            pause: Duration::ZERO,
         }
     }
 
     /// Runs for the life of the process.
     pub async fn run(mut self) {
-        let mut pause = FIRST_PAUSE;
         loop {
             if !self.is_due(Moment::now()) {
                 let is_loaded = self.catalog.lock().unwrap().is_loaded();
@@ -111,10 +126,10 @@
             }
             match self.read().await {
                 Ok(()) => {
-                    if pause > FIRST_PAUSE {
+                    if self.pause > Duration::ZERO {
                         info!("event=store_regained");
                     }
-                    pause = FIRST_PAUSE;
+                    self.pause = Duration::ZERO;
                     sleep(WATCH_PAUSE).await;
                 }
                 Err(error) => {
@@ -124,8 +139,8 @@
                         "event=store_read_failed error=\"{error}\" catalog_age_ms={}",
                         age.as_millis()
                     );
-                    sleep(pause).await;
-                    pause = (pause * 2).min(MAX_PAUSE);
+                    self.failed_at = Moment::now();
+                    self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
                 }
             }
         }
@@ -139,6 +154,10 @@
             let is_first = rank == 0 && members.is_in_first_data_centre(now);
             (rank, members.has_company(now), is_first)
         };
+        // Looked at each time, as the place may change during the pause.
+        if now < self.failed_at + self.pause.min(max_pause(rank)) {
+            return false;
+        }
         let catalog = self.catalog.lock().unwrap();
         if !catalog.is_loaded() {
             let patience = if self.is_first_start {
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -15,7 +15,7 @@
 use ragwortbeam_steering::mesh::{self, Link, Table};
 use ragwortbeam_steering::operators::{self, Parts};
 use ragwortbeam_steering::publisher::{Publication, Publisher, Reply};
-use ragwortbeam_steering::reader::Reader;
+use ragwortbeam_steering::reader::{Reader, max_pause};
 use ragwortbeam_steering::settings::Settings;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
@@ -326,3 +326,19 @@
             .await;
     }
 }
+
+#[test]
+fn calls_of_a_data_centre_without_the_store_are_bounded() {
+    let calls_per_s = |vms: u32| -> f64 {
+        let pauses = (0..vms).map(|rank| max_pause(rank).as_secs_f64());
+        pauses.map(|pause| 1.0 / pause).sum()
+    };
+    assert_eq!(max_pause(0), max_pause(7));
+    assert!(max_pause(8) > max_pause(7));
+    // Eight VMs at the shortest pause; each further eight add less.
+    let first = calls_per_s(8);
+    for (vms, times) in [(36, 2.5), (275, 4.5)] {
+        let all = calls_per_s(vms);
+        assert!(all < first * times, "{vms} VMs: {all} calls a second");
+    }
+}
