One piece of code where the change had two

Read again as a whole, the change wrote some things a second time:

- the wording of a fault in a settings file (both crates, and the key file): Fault::new;
- installing log and metrics, exit codes and the line on failure of serve and steer: commands::run_process and commands::failed;
- the subset of a VM, worked out once for its flows and once for its heartbeats on each change: both use the link's cache now;
- the VM's own load, summed up twice a heartbeat: once now;
- whether a candidate is silent, looked up two or three times for each new flow: once now;
- the data centre of an endpoint in the soak, and the timing of the capacity measurements.

--- a/crates/base/src/document.rs
+++ b/crates/base/src/document.rs
@@ -1,5 +1,7 @@
 //! JSON documents that people write: decoding, and what is wrong with one.
 
+use std::fmt;
+
 use derive_more::Display;
 use serde::de::DeserializeOwned;
 
@@ -18,6 +20,23 @@
     pub found: String,
 }
 
+impl Fault {
+    /// Returns what is wrong with a field of `file`; an empty `found` reads as nothing.
+    pub fn new(file: &str, field: &str, expected: &str, found: impl fmt::Display) -> Self {
+        let found = found.to_string();
+        Self {
+            file: file.to_owned(),
+            field: field.to_owned(),
+            expected: expected.to_owned(),
+            found: if found.is_empty() {
+                "nothing".to_owned()
+            } else {
+                found
+            },
+        }
+    }
+}
+
 /// Decodes JSON; `file` names it in faults.
 ///
 /// # Errors
@@ -25,10 +44,8 @@
 /// A fault that names the path of the field.
 pub fn decode<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Fault> {
     let mut deserializer = serde_json::Deserializer::from_str(text);
-    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| Fault {
-        file: file.to_owned(),
-        field: error.path().to_string(),
-        expected: "a document as docs/OPERATIONS.md describes".to_owned(),
-        found: error.inner().to_string(),
+    serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+        let expected = "a document as docs/OPERATIONS.md describes";
+        Fault::new(file, &error.path().to_string(), expected, error.inner())
     })
 }
--- a/crates/ragwortbeam/src/commands.rs
+++ b/crates/ragwortbeam/src/commands.rs
@@ -5,10 +5,13 @@
 mod status;
 mod steer;
 
+use std::fmt::Display;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use ragwortbeam_base::{logging, telemetry};
+use spdlog::error;
 
 /// Exit code of a command that did what it was asked to.
 pub const EXIT_OK: u8 = 0;
@@ -107,3 +110,18 @@
     };
     ExitCode::from(code)
 }
+
+/// Runs a VM's process with log and metrics; returns its exit code.
+fn run_process(process: impl FnOnce() -> u8) -> u8 {
+    logging::install();
+    telemetry::install();
+    let code = process();
+    logging::flush();
+    code
+}
+
+/// Logs why a process failed; returns its exit code.
+fn failed(error: &impl Display, is_settings: bool) -> u8 {
+    error!("event=failed error=\"{error}\"");
+    if is_settings { EXIT_WRONG } else { EXIT_FAILED }
+}
--- a/crates/ragwortbeam/src/commands/serve.rs
+++ b/crates/ragwortbeam/src/commands/serve.rs
@@ -2,39 +2,30 @@
 
 use std::path::Path;
 
-use ragwortbeam_base::telemetry;
-use spdlog::{error, warn};
+use spdlog::warn;
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use super::{EXIT_CUT_OFF, EXIT_FAILED, EXIT_OK, EXIT_WRONG};
+use super::{EXIT_CUT_OFF, EXIT_OK, failed, run_process};
 use crate::prelude::*;
-use crate::{logging, settings};
+use crate::settings;
 
 /// Runs a node until it is told to stop; returns the exit code.
 pub fn run(path: &Path) -> u8 {
-    logging::install();
-    telemetry::install();
-    let result = settings::load(path).and_then(|settings| {
-        let runtime = Runtime::new().map_err(|source| Error::io("runtime", source))?;
-        runtime.block_on(serve(settings))
-    });
-    let code = match result {
+    run_process(|| match start(path) {
         Ok(true) => EXIT_OK,
         Ok(false) => EXIT_CUT_OFF,
-        Err(error) => {
-            error!("event=failed error=\"{error}\"");
-            match error {
-                Error::Settings(_) => EXIT_WRONG,
-                _ => EXIT_FAILED,
-            }
-        }
-    };
-    logging::flush();
-    code
+        Err(error) => failed(&error, matches!(error, Error::Settings(_))),
+    })
 }
 
 /// Returns whether the stop was complete.
+fn start(path: &Path) -> Result<bool> {
+    let settings = settings::load(path)?;
+    let runtime = Runtime::new().map_err(|source| Error::io("runtime", source))?;
+    runtime.block_on(serve(settings))
+}
+
 async fn serve(settings: settings::Settings) -> Result<bool> {
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
--- a/crates/ragwortbeam/src/commands/steer.rs
+++ b/crates/ragwortbeam/src/commands/steer.rs
@@ -2,32 +2,20 @@
 
 use std::path::Path;
 
-use ragwortbeam_base::{logging, telemetry};
 use ragwortbeam_platform::{Packets, Store};
 use ragwortbeam_steering::errors::{Error, Result};
 use ragwortbeam_steering::node::{self, Adapter};
 use ragwortbeam_steering::settings;
-use spdlog::error;
 use tokio::runtime::Builder;
 
-use super::{EXIT_FAILED, EXIT_OK, EXIT_WRONG};
+use super::{EXIT_OK, failed, run_process};
 
 /// Runs a steering VM until it is told to stop; returns the exit code.
 pub fn run(path: &Path) -> u8 {
-    logging::install();
-    telemetry::install();
-    let code = match start(path) {
+    run_process(|| match start(path) {
         Ok(()) => EXIT_OK,
-        Err(error) => {
-            error!("event=failed error=\"{error}\"");
-            match error {
-                Error::Settings(_) => EXIT_WRONG,
-                _ => EXIT_FAILED,
-            }
-        }
-    };
-    logging::flush();
-    code
+        Err(error) => failed(&error, matches!(error, Error::Settings(_))),
+    })
 }
 
 fn start(path: &Path) -> Result<()> {
--- a/crates/ragwortbeam/src/node.rs
+++ b/crates/ragwortbeam/src/node.rs
@@ -226,12 +226,10 @@
     let path = settings.key_file.display().to_string();
     let secret = std::fs::read(&settings.key_file).map_err(|source| Error::io(&path, source))?;
     if secret.len() < MIN_KEY_LEN {
-        return Err(Error::Settings(crate::settings::Fault {
-            file: path,
-            field: "contents".to_owned(),
-            expected: format!("at least {MIN_KEY_LEN} bytes"),
-            found: format!("{} bytes", secret.len()),
-        }));
+        let expected = format!("at least {MIN_KEY_LEN} bytes");
+        let found = format!("{} bytes", secret.len());
+        let fault = crate::settings::Fault::new(&path, "contents", &expected, found);
+        return Err(Error::Settings(fault));
     }
     Ok(wire::frame::Key::derive(&secret))
 }
--- a/crates/ragwortbeam/src/settings/check.rs
+++ b/crates/ragwortbeam/src/settings/check.rs
@@ -122,17 +122,7 @@
 
 impl Check<'_> {
     fn fault(&self, field: &str, expected: &str, found: impl Display) -> Fault {
-        let found = found.to_string();
-        Fault {
-            file: self.file.to_owned(),
-            field: field.to_owned(),
-            expected: expected.to_owned(),
-            found: if found.is_empty() {
-                "nothing".to_owned()
-            } else {
-                found
-            },
-        }
+        Fault::new(self.file, field, expected, found)
     }
 
     fn name(&self, field: &str, text: String) -> Result<String, Fault> {
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -87,41 +87,45 @@
     };
     let is_usable = |it: &(Key, &Endpoint)| is_named(it) && it.1.takes_flows(now);
     let is_lapsed = |it: &(Key, &Endpoint)| is_named(it) && it.1.may_have_lapsed(now);
-    let silent = |(key, endpoint): &(Key, &Endpoint)| {
-        board.is_silent(*key, endpoint, now) && !board.may_retry(*key, now)
+    let judged = |(key, endpoint)| Candidate {
+        key,
+        endpoint,
+        is_silent: board.is_silent(key, endpoint, now) && !board.may_retry(key, now),
     };
     let known = subset.of(wish.service).iter();
-    let mut candidates: Vec<(Key, &Endpoint)> = known
-        .filter_map(|key| Some((*key, catalog.endpoint(*key)?)))
-        .filter(is_usable)
-        .collect();
-    if candidates.iter().all(silent) {
-        candidates = catalog.endpoints().filter(is_usable).collect();
+    let known = known.filter_map(|key| Some((*key, catalog.endpoint(*key)?)));
+    let mut candidates: Vec<Candidate<'_>> = known.filter(is_usable).map(judged).collect();
+    if candidates.iter().all(|it| it.is_silent) {
+        candidates = catalog.endpoints().filter(is_usable).map(judged).collect();
     }
     if candidates.is_empty() {
-        candidates = catalog.endpoints().filter(is_lapsed).collect();
+        candidates = catalog.endpoints().filter(is_lapsed).map(judged).collect();
     }
-    let silent_count = candidates.iter().filter(|it| silent(it)).count();
+    let silent_count = candidates.iter().filter(|it| it.is_silent).count();
     let leaves_out_silent = silent_count * 100 <= candidates.len() * MAX_SILENT_PERCENT;
-    let best = |is_allowed: &dyn Fn(&(Key, &Endpoint)) -> bool, random: &mut dyn FnMut() -> f64| {
+    let mut best = |is_allowed: &dyn Fn(&Candidate<'_>) -> bool| {
         candidates
             .iter()
             .filter(|candidate| is_allowed(candidate))
-            .map(|(key, endpoint)| {
-                let cost = cost(wish, *key, endpoint, board, now) + random();
-                (*key, cost)
+            .map(|it| {
+                let tie = random.random_range(0.0..TIE_WIDTH);
+                (it.key, cost(wish, it.key, it.endpoint, board, now) + tie)
             })
             .min_by(|left, right| left.1.total_cmp(&right.1))
             .map(|(key, _)| key)
     };
-    let mut tie = || random.random_range(0.0..TIE_WIDTH);
-    let is_untried = |(key, _): &(Key, &Endpoint)| !wish.avoid.contains(&Some(*key));
-    best(
-        &|it| is_untried(it) && !(leaves_out_silent && silent(it)),
-        &mut tie,
-    )
-    .or_else(|| best(&is_untried, &mut tie))
-    .or_else(|| best(&|_| true, &mut tie))
+    let is_untried = |it: &Candidate<'_>| !wish.avoid.contains(&Some(it.key));
+    best(&|it| is_untried(it) && !(leaves_out_silent && it.is_silent))
+        .or_else(|| best(&is_untried))
+        .or_else(|| best(&|_| true))
+}
+
+/// An endpoint that a flow may get.
+struct Candidate<'a> {
+    key: Key,
+    endpoint: &'a Endpoint,
+    /// True when it is silent and not due for another try.
+    is_silent: bool,
 }
 
 /// Returns the load for each slot that a new flow would meet.
--- a/crates/steering/src/mesh/beat.rs
+++ b/crates/steering/src/mesh/beat.rs
@@ -97,11 +97,7 @@
 
 impl Link {
     /// Sends a heartbeat with this VM's load.
-    fn send_report(&self, receivers: &[Ipv4Addr], asks: Asks, now: Moment) {
-        let loads = {
-            let catalog = self.catalog.lock().unwrap();
-            self.board.lock().unwrap().own_loads(&catalog, now)
-        };
+    fn send_report(&self, receivers: &[Ipv4Addr], asks: Asks, loads: Loads, now: Moment) {
         let mut reported = self.reported.lock().unwrap();
         let is_partial = !asks.whole;
         let loads = if is_partial {
@@ -147,18 +143,20 @@
         frame.encoded_len()
     }
 
-    /// Takes this VM's own load into its sums, and the sums into its board.
-    fn take_own(&self, now: Moment) {
+    /// Takes this VM's own load into its sums, and the sums into its board; returns the load.
+    fn take_own(&self, now: Moment) -> Loads {
         let me = self.members.lock().unwrap().ip();
         let subset = self.own_subset(now);
         let catalog = self.catalog.lock().unwrap();
         let mut board = self.board.lock().unwrap();
         let mut sums = self.sums.lock().unwrap();
-        sums.take_local(me, board.own_loads(&catalog, now), false, now);
+        let own = board.own_loads(&catalog, now);
+        sums.take_local(me, own.clone(), false, now);
         let tags = subset.tags(true);
         let (reports, contributors) = sums.without(me, tags, now);
         let loads = tags.iter().copied().zip(reports).collect();
         board.take_report(me, contributors, loads, false, now);
+        own
     }
 }
 
@@ -180,7 +178,7 @@
     let mut count: u64 = 0;
     loop {
         let now = Moment::now();
-        link.take_own(now);
+        let own = link.take_own(now);
         let (has_company, size, rank) = {
             let members = link.members.lock().unwrap();
             (
@@ -196,7 +194,7 @@
         let is_standby_due = asks.members || count.is_multiple_of(STANDBY_EVERY);
         let hub_count = if is_standby_due { HUBS } else { 1 };
         let hubs = link.members.lock().unwrap().hubs(hub_count, now);
-        link.send_report(&hubs, asks, now);
+        link.send_report(&hubs, asks, own, now);
         if rank < HUBS && count.is_multiple_of(FOREIGN_EVERY) {
             let hubs = link.members.lock().unwrap().foreign_hubs(now);
             link.send_beat(&hubs, asks, now);
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -34,7 +34,7 @@
     pub(super) board: Arc<Mutex<Board>>,
     pub(super) sums: Mutex<Sums>,
     /// Subsets of this VM and of those that report to it.
-    pub(super) subsets: Mutex<Subsets>,
+    pub subsets: Arc<Mutex<Subsets>>,
     /// Last whole report of this VM.
     pub(super) reported: Mutex<Loads>,
     pub(super) pace: Mutex<Pace>,
@@ -58,7 +58,7 @@
             catalog,
             board,
             sums: Mutex::default(),
-            subsets: Mutex::default(),
+            subsets: Arc::default(),
             reported: Mutex::default(),
             pace: Mutex::default(),
             is_pulling: AtomicBool::new(false),
--- a/crates/steering/src/node.rs
+++ b/crates/steering/src/node.rs
@@ -109,6 +109,7 @@
             settings.flow_lifetime,
             catalog.clone(),
             board,
+            link.subsets.clone(),
         ));
         let readiness: Arc<Readiness> = Arc::default();
         let parts = operators::Parts {
--- a/crates/steering/src/settings.rs
+++ b/crates/steering/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a steering VM: reading and checking the JSON file.
 
+use std::fmt::Display;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::time::Duration;
@@ -96,18 +97,13 @@
         })
     }
 
-    fn fault(&self, field: &str, expected: &str, found: impl ToString) -> Fault {
-        Fault {
-            file: self.file.to_owned(),
-            field: field.to_owned(),
-            expected: expected.to_owned(),
-            found: found.to_string(),
-        }
+    fn fault(&self, field: &str, expected: &str, found: impl Display) -> Fault {
+        Fault::new(self.file, field, expected, found)
     }
 
     fn name(&self, field: &str, text: String) -> Result<String, Fault> {
         if text.trim().is_empty() {
-            return Err(self.fault(field, "a name", "nothing"));
+            return Err(self.fault(field, "a name", ""));
         }
         Ok(text)
     }
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -17,7 +17,7 @@
 use crate::packet::Packet;
 use crate::prelude::*;
 use crate::reset::{self, Reason};
-use crate::subset::Subset;
+use crate::subset::Subsets;
 
 pub use tasks::{recount, run, watch_openings};
 
@@ -81,7 +81,7 @@
     flow_lifetime: Duration,
     catalog: Arc<Mutex<Catalog>>,
     board: Arc<Mutex<Board>>,
-    subset: Mutex<Subset>,
+    subsets: Arc<Mutex<Subsets>>,
     flows: Mutex<flow::Table>,
     /// Opening packets in the order in which they were sent on.
     openings: Mutex<VecDeque<(Ends, Moment)>>,
@@ -96,6 +96,7 @@
         flow_lifetime: Duration,
         catalog: Arc<Mutex<Catalog>>,
         board: Arc<Mutex<Board>>,
+        subsets: Arc<Mutex<Subsets>>,
     ) -> Self {
         Self {
             vm,
@@ -103,7 +104,7 @@
             flow_lifetime,
             catalog,
             board,
-            subset: Mutex::default(),
+            subsets,
             flows: Mutex::default(),
             openings: Mutex::default(),
             last_packet_ms: AtomicU64::new(0),
@@ -216,10 +217,10 @@
             }
             avoid = [Some(flow.endpoint), flow.tried];
         }
-        let mut subset = self.subset.lock().unwrap();
-        if !subset.is_current(catalog, now) {
-            *subset = Subset::select(self.vm, &self.data_centre, catalog, now);
-        }
+        let subset = {
+            let mut subsets = self.subsets.lock().unwrap();
+            subsets.of(self.vm, &self.data_centre, catalog, now)
+        };
         let mut random = rand::rng();
         let wish = Wish {
             service: route.service(hash(ends)),
--- a/crates/steering/src/subset.rs
+++ b/crates/steering/src/subset.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns whether this is still the subset by the catalog.
-    pub fn is_current(&self, catalog: &Catalog, now: Moment) -> bool {
+    fn is_current(&self, catalog: &Catalog, now: Moment) -> bool {
         self.revision == catalog.revision() && self.valid_until.is_none_or(|end| now < end)
     }
 
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -167,6 +167,7 @@
             Duration::from_secs(60),
             catalog.clone(),
             board.clone(),
+            Arc::default(),
         );
         Self {
             catalog,
--- a/crates/testbed/src/capacity.rs
+++ b/crates/testbed/src/capacity.rs
@@ -366,12 +366,13 @@
     [5000, 10_000, 20_000].into_iter().map(measure).collect()
 }
 
-fn point(x: u32, y: f64) -> Point {
+/// Returns a measured size.
+pub fn point(x: u32, y: f64) -> Point {
     Point { x: f64::from(x), y }
 }
 
 /// Returns the least time of several runs, nanoseconds.
-fn least(mut step: impl FnMut()) -> f64 {
+pub fn least(mut step: impl FnMut()) -> f64 {
     let times = (0..REPEATS).map(|_| {
         let begun = Instant::now();
         step();
--- a/crates/testbed/src/soak/endpoint.rs
+++ b/crates/testbed/src/soak/endpoint.rs
@@ -10,9 +10,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::port;
 use super::promises::Promises;
 use super::store::Store;
+use super::{port, vms};
 
 /// Services, and the number of endpoints that each starts with.
 pub(crate) const SERVICES: [(&str, u8); 2] = [("ledger", 6), ("vault", 3)];
@@ -262,11 +262,7 @@
         let value = wire::entry(&wire::Entry {
             service: endpoint.service,
             address: SocketAddrV4::new(self.ip(number), port::ENDPOINT),
-            data_centre: if number.is_multiple_of(2) {
-                "dc-a"
-            } else {
-                "dc-b"
-            },
+            data_centre: vms::data_centre(number),
             slots: 3,
             is_draining: endpoint.is_draining,
             born_ms: 5,
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -183,7 +183,7 @@
     }
 }
 
-/// Returns the data centre that a VM stands in.
+/// Returns the data centre that a VM or an endpoint stands in.
 pub(crate) fn data_centre(number: u8) -> &'static str {
     if number.is_multiple_of(2) {
         "dc-a"
--- a/crates/testbed/src/steering_capacity.rs
+++ b/crates/testbed/src/steering_capacity.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use prost::Message;
 use ragwortbeam_base::clock::Moment;
@@ -15,17 +15,14 @@
 use stats_alloc::{Region, StatsAlloc};
 use std::alloc::System;
 
-use crate::capacity::{Point, report};
+use crate::capacity::{Point, least, point, report};
 
 /// Data centres of the target, and services with endpoints in each.
 const DATA_CENTRES: u64 = 16;
 const SERVICES: u64 = 275;
 
 /// Numbers of endpoints, up to the target's.
-const ENDPOINTS: [u64; 4] = [3000, 12_000, 25_000, 49_000];
-
-/// Repetitions of a timed step; the least time counts, as noise only adds.
-const REPEATS: usize = 5;
+const ENDPOINTS: [u32; 4] = [3000, 12_000, 25_000, 49_000];
 
 const VM: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
 
@@ -57,10 +54,7 @@
                 ..reported(number)
             })
             .collect();
-        Point {
-            x: f64::from(size),
-            y: columns::untagged(&reports).encoded_len() as f64,
-        }
+        point(size, columns::untagged(&reports).encoded_len() as f64)
     });
     points.to_vec()
 }
@@ -72,16 +66,14 @@
         let loads: Loads = (0..size)
             .map(|number| (0x8000_0000 + number, reported(number)))
             .collect();
-        Point {
-            x: f64::from(size),
-            y: columns::tagged(&loads).encoded_len() as f64,
-        }
+        point(size, columns::tagged(&loads).encoded_len() as f64)
     });
     points.to_vec()
 }
 
 /// Returns a catalog whose services each have endpoints in one data centre.
-fn catalog(endpoints: u64) -> Catalog {
+fn catalog(endpoints: u32) -> Catalog {
+    let endpoints = u64::from(endpoints);
     let mut catalog = Catalog::default();
     for number in 0..endpoints {
         let data_centre = number % DATA_CENTRES;
@@ -111,32 +103,25 @@
 }
 
 fn catalog_memory(allocator: &'static StatsAlloc<System>) -> Vec<Point> {
-    let measure = |endpoints: u64| {
+    let measure = |endpoints: u32| {
         let region = Region::new(allocator);
         let catalog = catalog(endpoints);
         let change = region.change();
         black_box(&catalog);
-        Point {
-            x: endpoints as f64,
-            y: change.bytes_allocated as f64 - change.bytes_deallocated as f64,
-        }
+        let bytes = change.bytes_allocated as f64 - change.bytes_deallocated as f64;
+        point(endpoints, bytes)
     };
     ENDPOINTS.map(measure).to_vec()
 }
 
 /// Working out a subset after a change.
 fn subset_time() -> Vec<Point> {
-    let measure = |endpoints: u64| {
+    let measure = |endpoints: u32| {
         let catalog = catalog(endpoints);
-        let least = (0..REPEATS).map(|_| {
-            let started_at = Instant::now();
+        let time = least(|| {
             black_box(Subset::select(VM, "dc-0", &catalog, Moment::default()));
-            started_at.elapsed()
         });
-        Point {
-            x: endpoints as f64,
-            y: least.min().unwrap_or_default().as_secs_f64() * 1e6,
-        }
+        point(endpoints, time / 1000.0)
     };
     ENDPOINTS.map(measure).to_vec()
 }
@@ -144,7 +129,7 @@
 /// Choice of an endpoint for one new flow.
 fn choice_time() -> Vec<Point> {
     const CHOICES: u32 = 10_000;
-    let measure = |endpoints: u64| {
+    let measure = |endpoints: u32| {
         let catalog = catalog(endpoints);
         let subset = Subset::select(VM, "dc-0", &catalog, Moment::default());
         let board = Board::default();
@@ -156,18 +141,13 @@
             avoid: [None, None],
         };
         let mut random = rand::rng();
-        let least = (0..REPEATS).map(|_| {
-            let started_at = Instant::now();
+        let time = least(|| {
             for _ in 0..CHOICES {
                 let now = Moment::default();
                 black_box(choose(&wish, &subset, &catalog, &board, now, &mut random));
             }
-            started_at.elapsed()
         });
-        Point {
-            x: endpoints as f64,
-            y: least.min().unwrap_or_default().as_secs_f64() * 1e9 / f64::from(CHOICES),
-        }
+        point(endpoints, time / f64::from(CHOICES))
     };
     ENDPOINTS.map(measure).to_vec()
 }
