A data centre with few live VMs hands its callers over

Cause: while fewer than half of a data centre's VMs are in rotation, the fabric uses all of them, dead and frozen ones included, and all copies of an opening packet reach the same VM. The live ones said they were ready, so callers of such a data centre stayed there for the whole freeze. Change: the first hub of a data centre counts its VMs (a VM is silent after 350 ms, and is asked before) and decides: after 200 ms with less than half able, and another data centre with a majority and room, its VMs fail their readiness checks until half are back. Frames of first hubs carry the state. Suspected hubs get stand-ins after two unanswered heartbeats. A pure module (rotation) holds the decision; the drill and its test use real processes. Drill: out of rotation 2.2 s after the pause, back 0.2 s after its end.

--- a/crates/steering/src/http_server.rs
+++ b/crates/steering/src/http_server.rs
@@ -15,7 +15,7 @@
 use crate::mesh::PeerLink;
 use crate::prelude::*;
 
-/// Part of the readiness that does not depend on the catalog: whether this VM is stopping; it is
+/// Part of the readiness that depends on neither the catalog nor the other VMs: whether this VM is stopping; it is
 /// not by default.
 #[derive(Debug, Default)]
 pub struct Readiness {
@@ -40,8 +40,8 @@
     pub link: Arc<PeerLink>,
 }
 
-/// Serves `/ready` until the process ends. The status is 200 when a catalog is loaded and the VM is
-/// not stopping, else 503.
+/// Serves `/ready` until the process ends. The status is 200 when a catalog is loaded, the VM is
+/// not stopping and its data centre has not handed its callers over, else 503 with the reason.
 pub async fn serve_ready(state: HandlerState, listener: TcpListener) {
     let router = Router::new().route("/ready", get(ready)).with_state(state);
     serve(router, listener, "ready").await;
@@ -72,12 +72,16 @@
 }
 
 async fn ready(State(state): State<HandlerState>) -> (StatusCode, &'static str) {
-    let is_stopping = state.readiness.is_stopping.load(Ordering::Acquire);
-    if !is_stopping && state.catalog.lock().unwrap().is_loaded() {
-        (StatusCode::OK, "ready")
+    let obstacle = if state.readiness.is_stopping.load(Ordering::Acquire) {
+        "stopping"
+    } else if !state.catalog.lock().unwrap().is_loaded() {
+        "no catalog"
+    } else if state.link.is_handed_over(Moment::now()) {
+        "callers handed over"
     } else {
-        (StatusCode::SERVICE_UNAVAILABLE, "not ready")
-    }
+        return (StatusCode::OK, "ready");
+    };
+    (StatusCode::SERVICE_UNAVAILABLE, obstacle)
 }
 
 async fn catalog(State(state): State<HandlerState>, RawQuery(query): RawQuery) -> Vec<u8> {
@@ -91,15 +95,19 @@
 
 async fn status(State(state): State<HandlerState>) -> String {
     let now = Moment::now();
+    let data_centre = state.link.data_centre_state(now).unwrap_or_default();
     let catalog = state.catalog.lock().unwrap();
     let members = state.link.members.lock().unwrap();
     format!(
-        "config={} revision={} catalog_age_ms={} endpoints={} vms_here={} rank={}\n",
+        "config={} revision={} catalog_age_ms={} endpoints={} vms_here={} rank={} known_vms={} able_vms={} is_handed_over={}\n",
         catalog.configuration().version,
         catalog.revision(),
         catalog.age(now).as_millis(),
         catalog.endpoints().count(),
         members.local_vm_count(now),
         members.rank(now),
+        data_centre.census.known,
+        data_centre.census.able,
+        data_centre.is_handed_over,
     )
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod prelude;
 pub mod reader;
 pub mod reset;
+pub mod rotation;
 pub mod settings;
 pub mod steer;
 pub mod subset;
--- a/crates/steering/src/mesh/heartbeat.rs
+++ b/crates/steering/src/mesh/heartbeat.rs
@@ -206,6 +206,7 @@
     loop {
         let now = Moment::now();
         let own_loads = link.refresh_own_loads(now);
+        let pacing = *link.pacing.lock().unwrap();
         let (has_live_peer, vm_count, rank) = {
             let members = link.members.lock().unwrap();
             (
@@ -214,6 +215,9 @@
                 members.rank(now),
             )
         };
+        let interval = pacing.interval(vm_count);
+        let silent_vms = link.update_rotation(interval, now);
+        link.send_heartbeat(&silent_vms, HeartbeatOptions::default(), now);
         let options = HeartbeatOptions {
             wants_members: count.is_multiple_of(MEMBERS_EVERY_HEARTBEATS) || !has_live_peer,
             wants_whole: count.is_multiple_of(ALL_LOADS_EVERY_HEARTBEATS),
@@ -236,7 +240,6 @@
             probe_down_vms(&link, count, now);
         }
         count += 1;
-        let interval = link.pacing.lock().unwrap().interval(vm_count);
         sleep(interval).await;
     }
 }
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use super::heartbeat::{HUBS_PER_VM, HeartbeatOptions, HeartbeatPacing};
+use super::rotation::Rotation;
 use super::{LoadAggregate, MembershipTable};
 use crate::load::{EndpointLoads, Loads};
 use crate::message::{self, Digest, Frame, frame};
@@ -39,6 +40,7 @@
     /// Last load report that this VM sent in full; partial reports are relative to it.
     pub(super) last_full_report: Mutex<Loads>,
     pub(super) pacing: Mutex<HeartbeatPacing>,
+    pub(super) rotation: Mutex<Rotation>,
     pub(super) is_pulling: AtomicBool,
 }
 
@@ -62,6 +64,7 @@
             subsets: Arc::default(),
             last_full_report: Mutex::default(),
             pacing: Mutex::default(),
+            rotation: Mutex::default(),
             is_pulling: AtomicBool::new(false),
         }
     }
@@ -154,6 +157,7 @@
             sender: Some(sender),
             view: Some(view),
             body: Some(body),
+            data_centre: self.own_state(),
         }
     }
 
@@ -180,6 +184,9 @@
             members.record_direct_contact(&sender, now);
             *sender.data_centre == **members.data_centre()
         };
+        if let Some(state) = &frame.data_centre {
+            self.record_state(&sender.data_centre, state, now);
+        }
         let mut changes = None;
         match frame.body {
             Some(frame::Body::Beat(beat)) => self.answer_heartbeat(ip, is_local, beat, now),
--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -9,11 +9,22 @@
 
 use crate::message;
 use crate::prelude::*;
+use crate::rotation::Census;
 
 /// Consecutive unanswered heartbeats after which this VM considers a peer down. At the
 /// shortest heartbeat interval this takes 0.3 s, which is many round trips.
 const MAX_UNANSWERED_HEARTBEATS: u32 = 6;
 
+/// Consecutive unanswered heartbeats after which a hub's stand-in is contacted too, so that a
+/// series of hubs that are down is passed quickly.
+const SUSPECTED_AFTER_HEARTBEATS: u32 = 2;
+
+/// Maximum number of stand-ins for suspected hubs that are contacted at the same time.
+const MAX_STAND_INS: usize = 3;
+
+/// Time since a VM was last seen after which it no longer counts as one of its data centre's VMs.
+const CENSUS_WINDOW: Duration = Duration::from_secs(60);
+
 /// Time since a peer was last seen, by this VM or by others, after which it is considered
 /// down. Member lists are exchanged every two seconds.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(4);
@@ -37,6 +48,8 @@
     pub is_leaving: bool,
     /// Time at which this VM or another one last received a frame from the peer.
     pub last_seen_at: Moment,
+    /// Time at which this VM itself last received a frame from the peer; `None` before the first.
+    contact_at: Option<Moment>,
     /// Heartbeats sent to the peer since this VM last received a frame from it.
     unanswered_heartbeats: u32,
 }
@@ -46,6 +59,12 @@
         self.unanswered_heartbeats < MAX_UNANSWERED_HEARTBEATS
             && now.since(self.last_seen_at) < LIVENESS_TIMEOUT
     }
+
+    /// Returns whether this VM itself received a frame from the peer within `window`.
+    fn was_heard_within(&self, window: Duration, now: Moment) -> bool {
+        self.contact_at
+            .is_some_and(|contact_at| now.since(contact_at) <= window)
+    }
 }
 
 /// Table of this VM and the peers known to it.
@@ -112,6 +131,7 @@
                 );
             }
             known.unanswered_heartbeats = 0;
+            known.contact_at = Some(now);
         }
     }
 
@@ -129,14 +149,15 @@
             weight: member.weight,
             is_leaving: member.is_leaving,
             last_seen_at,
+            contact_at: None,
             unanswered_heartbeats: 0,
         };
         match self.peers.get_mut(&ip) {
             Some(known) if known.last_seen_at >= last_seen_at => {}
             Some(known) => {
-                let unanswered_heartbeats = known.unanswered_heartbeats;
                 *known = Member {
-                    unanswered_heartbeats,
+                    contact_at: known.contact_at,
+                    unanswered_heartbeats: known.unanswered_heartbeats,
                     ..update
                 };
             }
@@ -181,6 +202,48 @@
         alive.count() + 1
     }
 
+    /// Counts the VMs of this data centre; a peer is able if this VM heard from it within
+    /// `max_silence` and it is not leaving.
+    pub fn census(&self, max_silence: Duration, now: Moment) -> Census {
+        let known = self.peers.values().filter(|member| {
+            member.data_centre == self.data_centre && now.since(member.last_seen_at) < CENSUS_WINDOW
+        });
+        let mut census = Census {
+            known: 1,
+            able: u32::from(!self.is_leaving),
+        };
+        for member in known {
+            let is_able = !member.is_leaving && member.was_heard_within(max_silence, now);
+            census.known += 1;
+            census.able += u32::from(is_able);
+        }
+        census
+    }
+
+    /// Returns up to `max_count` peers of this data centre that count as alive although this VM
+    /// has not heard from them within `max_silence`, those with the fewest unanswered heartbeats
+    /// first.
+    pub fn silent_vms(
+        &self,
+        max_silence: Duration,
+        max_count: usize,
+        now: Moment,
+    ) -> Vec<Ipv4Addr> {
+        let mut silent: Vec<(u32, Ipv4Addr)> = self
+            .peers
+            .iter()
+            .filter(|(_, member)| {
+                member.data_centre == self.data_centre
+                    && member.is_alive(now)
+                    && !member.was_heard_within(max_silence, now)
+            })
+            .map(|(ip, member)| (member.unanswered_heartbeats, *ip))
+            .collect();
+        silent.sort();
+        silent.truncate(max_count);
+        silent.into_iter().map(|(_, ip)| ip).collect()
+    }
+
     /// Returns this VM's position in its data centre's order of hubs and readers; 0 is the
     /// first. A leaving VM ranks after all others.
     pub fn rank(&self, now: Moment) -> usize {
@@ -197,6 +260,11 @@
         preceding.count()
     }
 
+    /// Returns whether this VM is the first hub of its data centre.
+    pub fn is_first_hub(&self, now: Moment) -> bool {
+        !self.is_leaving && self.rank(now) == 0
+    }
+
     /// Returns whether this VM's data centre is the primary one, whose readers read the store
     /// for all: the first by name of those that have a live VM that is not leaving.
     pub fn is_in_primary_data_centre(&self, now: Moment) -> bool {
@@ -206,22 +274,40 @@
         })
     }
 
-    /// Returns up to `count` peers of this data centre that serve as hubs, in hub order.
+    /// Returns up to `count` peers of this data centre that serve as hubs, in hub order, and
+    /// stand-ins for those that are suspected to be down.
     pub fn hubs(&self, count: usize, now: Moment) -> Vec<Ipv4Addr> {
-        let mut hubs = self.hub_candidates(&self.data_centre, now);
-        hubs.truncate(count);
-        hubs
+        self.with_stand_ins(self.hub_candidates(&self.data_centre, now), count)
     }
 
-    /// Returns the first hub of every remote data centre that has one.
+    /// Returns the first hub of every remote data centre that has one, and stand-ins for those that
+    /// are suspected to be down.
     pub fn remote_hubs(&self, now: Moment) -> Vec<Ipv4Addr> {
         let data_centres = self.remote_data_centres();
         let hubs = data_centres
             .iter()
-            .filter_map(|data_centre| self.hub_candidates(data_centre, now).first().copied());
+            .flat_map(|data_centre| self.with_stand_ins(self.hub_candidates(data_centre, now), 1));
         hubs.collect()
     }
 
+    /// Shortens a list of hub candidates to the first `count` and, for each suspected one, one
+    /// more, up to [`MAX_STAND_INS`].
+    fn with_stand_ins(&self, mut candidates: Vec<Ipv4Addr>, count: usize) -> Vec<Ipv4Addr> {
+        let mut len = count;
+        let mut index = 0;
+        while index < len.min(candidates.len()) {
+            let member = self.peers.get(&candidates[index]);
+            let is_suspected =
+                member.is_some_and(|it| it.unanswered_heartbeats >= SUSPECTED_AFTER_HEARTBEATS);
+            if is_suspected && len < count + MAX_STAND_INS {
+                len += 1;
+            }
+            index += 1;
+        }
+        candidates.truncate(len);
+        candidates
+    }
+
     /// Returns the peers that are down in this data centre and in remote data centres
     /// without a live hub candidate.
     pub fn down_vms(&self, now: Moment) -> Vec<Ipv4Addr> {
--- a/crates/steering/src/mesh/mod.rs
+++ b/crates/steering/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod members;
 mod pull;
+mod rotation;
 
 pub use aggregate::LoadAggregate;
 pub use heartbeat::{HeartbeatPacing, send_heartbeats};
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -36,6 +36,7 @@
     Crest(Crest),
     Relay(Relay),
     Soak(Soak),
+    Rotation(Rotation),
 }
 
 /// Run a small data centre under load for about 20 s while VMs and servers change.
@@ -154,6 +155,15 @@
     callers: u8,
 }
 
+/// Pause most steering VMs of a data centre and check which VMs stay in rotation, for about 40 s.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rotation")]
+struct Rotation {
+    /// seed of the addresses and the configuration
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
         Some("node") => return run_product("serve"),
@@ -182,6 +192,14 @@
             };
             runtime.block_on(soak::run_seeds(&options, soak.seeds))
         }
+        Command::Rotation(rotation) => runtime
+            .block_on(soak::run_rotation_drill(rotation.seed))
+            .map(|deviations| {
+                for deviation in &deviations {
+                    println!("deviation: {deviation}");
+                }
+                deviations.is_empty()
+            }),
         Command::Relay(relay) => runtime.block_on(throughput::relay(relay.target)),
         Command::Faults(faults) => runtime.block_on(faults::run(&faults::Options {
             seeds: faults.seeds,
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -10,20 +10,23 @@
 mod guarantees;
 mod links;
 mod proxy;
+mod rotation;
 mod store;
 mod vms;
 
 use std::io::ErrorKind;
 use std::net::Ipv4Addr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 pub use guarantees::{GuaranteeChecker, Routes};
+pub use rotation::run_rotation_drill;
 pub use store::Store;
 
 /// Time without faults at the end of a run, within which service has to recover.
@@ -103,28 +106,7 @@
 /// Panics if the VMs are not all ready within 20 s.
 pub async fn run(options: Options) -> std::io::Result<Vec<String>> {
     let directory = tempfile::tempdir()?;
-    let checker = Arc::new(GuaranteeChecker::default());
-    let (subnet, store) = claim_subnet(options.seed, &checker).await?;
-    let cluster = Arc::new(Cluster {
-        subnet,
-        directory: directory.path().to_owned(),
-        vms: vms::Vms::new(options.vms),
-        links: links::Links::default(),
-        endpoints: endpoint::EndpointPool::new(subnet, store.clone(), checker.clone()),
-        store,
-        checker,
-        options,
-    });
-    cluster.endpoints.start_all().await?;
-    for number in 1..=cluster.options.vms {
-        proxy::start(&cluster, number).await?;
-        links::start(&cluster, number).await?;
-        cluster.vms.start(&cluster, number)?;
-    }
-    let mut rng = StdRng::seed_from_u64(cluster.options.seed);
-    faults::write_random_configuration(&cluster, &mut rng);
-    let rotation_task = tokio::spawn(vms::update_rotation(cluster.clone()));
-    cluster.vms.wait_ready().await;
+    let (cluster, mut rng, rotation_task) = start_cluster(options, directory.path()).await?;
     let callers: Vec<_> = (1..=cluster.options.callers)
         .map(|number| tokio::spawn(caller::run(cluster.clone(), number)))
         .collect();
@@ -151,6 +133,37 @@
     Ok(violations)
 }
 
+/// Starts the stand-ins and VMs, and the task that keeps the rotation, and waits until all VMs are
+/// ready. Also returns the random numbers that continue those of the configuration.
+async fn start_cluster(
+    options: Options,
+    directory: &Path,
+) -> std::io::Result<(Arc<Cluster>, StdRng, JoinHandle<()>)> {
+    let checker = Arc::new(GuaranteeChecker::default());
+    let (subnet, store) = claim_subnet(options.seed, &checker).await?;
+    let cluster = Arc::new(Cluster {
+        subnet,
+        directory: directory.to_owned(),
+        vms: vms::Vms::new(options.vms),
+        links: links::Links::default(),
+        endpoints: endpoint::EndpointPool::new(subnet, store.clone(), checker.clone()),
+        store,
+        checker,
+        options,
+    });
+    cluster.endpoints.start_all().await?;
+    for number in 1..=cluster.options.vms {
+        proxy::start(&cluster, number).await?;
+        links::start(&cluster, number).await?;
+        cluster.vms.start(&cluster, number)?;
+    }
+    let mut rng = StdRng::seed_from_u64(cluster.options.seed);
+    faults::write_random_configuration(&cluster, &mut rng);
+    let rotation_task = tokio::spawn(vms::update_rotation(cluster.clone()));
+    cluster.vms.wait_ready().await;
+    Ok((cluster, rng, rotation_task))
+}
+
 /// Starts the store in the first subnet that no other run uses. The store's bound address marks
 /// the subnet as used, so that a parallel run fails to bind it and tries the next one.
 async fn claim_subnet(
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -173,6 +173,14 @@
         }
     }
 
+    /// Returns the numbers of the VMs that pass their readiness checks, in ascending order.
+    pub(crate) fn in_rotation(&self) -> Vec<u8> {
+        let rotation = self.rotation.lock().unwrap();
+        let mut numbers: Vec<u8> = rotation.iter().map(|it| it.ip().octets()[3]).collect();
+        numbers.sort();
+        numbers
+    }
+
     /// Waits until all VMs are in rotation; panics after [`START_TIMEOUT`].
     pub(crate) async fn wait_ready(&self) {
         let started_at = Instant::now();
