A stopping VM waits while it would leave less than half in rotation

Cause: several planned restarts at once in one data centre leave less than half in rotation, and the fabric then also uses VMs that have just ended. Change: on SIGTERM a VM stays ready while the census says so, as long as its stop timeout leaves time for two failed readiness checks.

--- a/crates/steering/src/node.rs
+++ b/crates/steering/src/node.rs
@@ -181,16 +181,38 @@
         *current_settings = new_settings;
     }
 
+    /// Waits, ready, while less than half of the data centre's VMs would stay in rotation without
+    /// this one, until `deadline` at the latest. The network fabric would then deliver packets to
+    /// VMs that have already ended.
+    async fn wait_for_turn(&self, deadline: Moment) {
+        let started_at = Moment::now();
+        loop {
+            let now = Moment::now();
+            let census = self.link.data_centre_state(now).unwrap_or_default().census;
+            if census.may_leave() || now >= deadline {
+                info!(
+                    "event=stop_turn waited_ms={} known_vms={} able_vms={}",
+                    now.since(started_at).as_millis(),
+                    census.known,
+                    census.able
+                );
+                return;
+            }
+            sleep(STOP_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Fails the readiness check, so that the network fabric delivers no more packets to this VM,
     /// and steers until none arrive or the timeout is nearly over.
     async fn stop(&self, timeout: Duration) {
-        let started_at = Moment::now();
-        let deadline = started_at + timeout * STOP_TIMEOUT_PERCENT / 100;
+        let deadline = Moment::now() + timeout * STOP_TIMEOUT_PERCENT / 100;
         info!(
             "event=stopping flows={} timeout_ms={}",
             self.steering.flow_count(),
             timeout.as_millis()
         );
+        self.wait_for_turn(deadline.before(MIN_STOP_TIME)).await;
+        let started_at = Moment::now();
         self.readiness.stop();
         self.link.leave();
         loop {
