Half of a data centre is enough to receive callers, ten VMs' each

Change: a data centre receives with half of its VMs, which the fabric uses on their own; one able VM takes ten VMs' callers (steering takes 5% of a VM's share); states of others count for 1.5 s. A factor from measured load would hold at any size.

--- a/crates/steering/src/mesh/rotation.rs
+++ b/crates/steering/src/mesh/rotation.rs
@@ -24,7 +24,7 @@
 const STATE_LIFETIME_INTERVALS: u32 = 15;
 
 /// Minimum age above which the state of a data centre is ignored.
-const MIN_STATE_LIFETIME: Duration = Duration::from_millis(1000);
+const MIN_STATE_LIFETIME: Duration = Duration::from_millis(1500);
 
 /// Maximum number of silent VMs that the first hub contacts in one heartbeat round.
 const MAX_CONTACTED_VMS: usize = 8;
--- a/crates/steering/src/rotation.rs
+++ b/crates/steering/src/rotation.rs
@@ -25,9 +25,10 @@
 /// loss of one.
 const MIN_RECEIVING_VMS: u32 = 2;
 
-/// Maximum number of VMs' callers that one able VM serves after a hand-over. A VM is built for a
-/// fifth of its share of a core.
-const MAX_LOAD_FACTOR: u32 = 5;
+/// Maximum number of VMs' callers that one able VM serves after a hand-over. Steering takes a small
+/// part of a VM's processor, and without a hand-over more than half of the callers' packets are
+/// lost.
+const MAX_LOAD_FACTOR: u32 = 10;
 
 /// Largest part of all data centres, in percent, that hand their callers over at the same time.
 const MAX_DONORS_PERCENT: usize = 75;
@@ -47,10 +48,10 @@
         self.able * 2 < self.known
     }
 
-    /// Returns whether the data centre may receive the callers of another one: more than half of
-    /// its VMs are able, so that it keeps half when it loses one.
+    /// Returns whether the data centre may receive the callers of another one: its able VMs are in
+    /// rotation on their own, and it is not empty after the loss of one.
     fn can_receive(self) -> bool {
-        self.able >= MIN_RECEIVING_VMS && self.able * 2 > self.known
+        self.able >= MIN_RECEIVING_VMS && !self.is_minority()
     }
 
     /// Returns whether one more VM may leave the rotation while at least half stay in it. A data
@@ -86,7 +87,7 @@
     Majority,
     /// Fewer than half are able, for less than [`HAND_OVER_DELAY`] or [`STRANDED_DELAY`] so far.
     Settling,
-    /// Fewer than half are able, but no other data centre is known to have a majority.
+    /// Fewer than half are able, but no other data centre is known to have half of its own.
     NoReceiver,
     /// Fewer than half are able, but the receiving VMs would get too many callers.
     NoRoom,
