A replaced reader does not delay the removal of endpoints

Cause: a VM that steps in for a hung reader at a catalog age of 1.8 s took its first read for the end of a store outage and held removals for 2.2 s more, 4 s in all: an endpoint that had left stayed in use beyond the bound of 3 s. The test of a hanging reader missed it, as its fixed addresses happened to give the other VM rank 0; with addresses of the process (so that two copies of the tests can run) it failed 6 of 6 times, the log showing reader_steps_in, store_returned and endpoint_removed hold_ms=2078. Change: a read ends an outage only after a failed read of this VM, or when the catalog is older than any rank lets it become. The tests take addresses from the process id and ranks from the last octet.

--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -64,9 +64,15 @@
 /// Increase of the startup delay per rank.
 const STARTUP_DELAY_PER_RANK: Duration = Duration::from_millis(25);
 
-/// Age of the catalog above which a successful read counts as the end of a store outage.
+/// Age of the catalog above which a successful read counts as the end of a store outage if this VM's
+/// previous read failed.
 const OUTAGE_AGE: Duration = Duration::from_millis(1800);
 
+/// Age of the catalog above which a successful read counts as the end of a store outage even if
+/// this VM has not tried to read: any rank takes over before, so younger catalogs only show that
+/// another reader hung or was frozen.
+const UNSEEN_OUTAGE_AGE: Duration = Duration::from_millis(3400);
+
 /// Time after a store outage within which endpoints renew the entries that lapsed during it. A
 /// removal that is read in this time is held until its end.
 const LAPSED_ENTRY_HOLD: Duration = Duration::from_millis(2200);
@@ -228,7 +234,12 @@
         let known_at = now.min(sent_at + WATCH_TIMEOUT);
         let old_revision = {
             let mut catalog = self.catalog.lock().unwrap();
-            if catalog.is_loaded() && catalog.age(now) > OUTAGE_AGE {
+            let outage_age = if self.backoff > Duration::ZERO {
+                OUTAGE_AGE
+            } else {
+                UNSEEN_OUTAGE_AGE
+            };
+            if catalog.is_loaded() && catalog.age(now) > outage_age {
                 info!(
                     "event=store_returned catalog_age_ms={}",
                     catalog.age(now).as_millis()
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::collections::VecDeque;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -139,6 +139,13 @@
     }
 }
 
+/// Returns a loopback address that no other running process of these tests uses.
+fn loopback_ip(last_octet: u8) -> Ipv4Addr {
+    let process = std::process::id();
+    let subnet = [(process % 120) as u8 + 1, (process / 120 % 250) as u8];
+    Ipv4Addr::new(127, subnet[0], subnet[1], last_octet)
+}
+
 /// A VM that steers no packets: mesh, reader and the HTTP server for other VMs.
 struct Vm {
     catalog: Arc<Mutex<Catalog>>,
@@ -158,7 +165,7 @@
         seeds: &[u8],
         source: ScriptedSource,
     ) -> Self {
-        let address = |last_octet| SocketAddrV4::new([127, 0, 77, last_octet].into(), port);
+        let address = |last_octet| SocketAddrV4::new(loopback_ip(last_octet), port);
         let seeds: Vec<SocketAddrV4> = seeds
             .iter()
             .map(|last_octet| address(*last_octet))
@@ -168,7 +175,9 @@
         let listener = TcpListener::bind(settings.peer_address).await.unwrap();
         let catalog: Arc<Mutex<Catalog>> = Arc::default();
         let endpoint_loads: Arc<Mutex<EndpointLoads>> = Arc::default();
-        let members = MembershipTable::new(*settings.peer_address.ip(), 1, data_centre, 100);
+        // A VM with a lower last octet ranks before the others, whatever the addresses' hashes.
+        let weight = 1000 - u32::from(last_octet);
+        let members = MembershipTable::new(*settings.peer_address.ip(), 1, data_centre, weight);
         let members = Arc::new(Mutex::new(members));
         let link = PeerLink::new(&settings, socket, members, catalog.clone(), endpoint_loads);
         let link = Arc::new(link);
@@ -306,7 +315,7 @@
 
 #[tokio::test]
 async fn a_hanging_reader_is_replaced_before_the_catalogs_are_outdated() {
-    // Either VM may have rank 0; the source of the first one hangs until the end of the test.
+    // The source of the first VM, which has rank 0, hangs until the end of the test.
     let hanging = || {
         ScriptedSource::of([
             Response::Update(full_update(10, &[1, 2])),
