The delay of a first start is bounded at any rank

Cause: 25 ms a rank without bound let the 275th VM of a data centre wait for 7 s before it reads the store itself. Change: the delay grows up to rank 40, to 1.4 s; it is a function of its own. Measured: a table of ranks in tests/reader.rs.

--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -64,6 +64,10 @@
 /// Increase of the startup delay per rank.
 const STARTUP_DELAY_PER_RANK: Duration = Duration::from_millis(25);
 
+/// Rank up to which the startup delay grows at the first start of the system: the first VMs have
+/// read the store by then, and the others must not wait for much longer than they need to.
+const FIRST_START_RANK_LIMIT: u32 = 40;
+
 /// Age of the catalog above which a successful read counts as the end of a store outage if this VM's
 /// previous read failed.
 const OUTAGE_AGE: Duration = Duration::from_millis(1800);
@@ -86,6 +90,18 @@
     BASE_MAX_BACKOFF * (1 + rank / RANK_LIMIT)
 }
 
+/// Returns the time for which a starting VM of this rank waits for the catalog of another VM before
+/// it reads the store.
+pub fn startup_delay(rank: u32, is_first_start: bool, has_live_peer: bool) -> Duration {
+    if is_first_start {
+        FIRST_START_DELAY + STARTUP_DELAY_PER_RANK * rank.min(FIRST_START_RANK_LIMIT)
+    } else if has_live_peer && rank > 0 {
+        STARTUP_DELAY_WITH_PEERS + STARTUP_DELAY_PER_RANK * rank.min(RANK_LIMIT)
+    } else {
+        STARTUP_DELAY
+    }
+}
+
 /// Task that reads the catalog source on behalf of one VM.
 pub struct Reader {
     catalog_source: Box<dyn CatalogSource>,
@@ -173,13 +189,7 @@
         }
         let catalog = self.catalog.lock().unwrap();
         if !catalog.is_loaded() {
-            let delay = if self.is_first_start {
-                FIRST_START_DELAY + STARTUP_DELAY_PER_RANK * rank
-            } else if has_live_peer && rank > 0 {
-                STARTUP_DELAY_WITH_PEERS + STARTUP_DELAY_PER_RANK * rank.min(RANK_LIMIT)
-            } else {
-                STARTUP_DELAY
-            };
+            let delay = startup_delay(rank, self.is_first_start, has_live_peer);
             return now.since(self.started_at) >= delay;
         }
         if is_first_reader || now < self.takeover_until {
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -15,7 +15,7 @@
 use ragwortbeam_steering::http_server::{self, HandlerState};
 use ragwortbeam_steering::load::EndpointLoads;
 use ragwortbeam_steering::mesh::{self, MembershipTable, PeerLink};
-use ragwortbeam_steering::reader::{Reader, max_backoff};
+use ragwortbeam_steering::reader::{Reader, max_backoff, startup_delay};
 use ragwortbeam_steering::settings::Settings;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
@@ -395,3 +395,36 @@
         assert!(all < first * times, "{vms} VMs: {all} requests a second");
     }
 }
+
+/// The last VMs of a large data centre would otherwise wait for several seconds at the first start
+/// of the system if no other VM's catalog reaches them.
+#[test]
+fn the_startup_delay_is_bounded_at_any_rank() {
+    struct Case {
+        rank: u32,
+        is_first_start: bool,
+        has_live_peer: bool,
+        delay_ms: u64,
+    }
+    let cases = [
+        (0, false, false, 30),
+        (0, false, true, 30),
+        (5, false, false, 30),
+        (1, false, true, 85),
+        (275, false, true, 260),
+        (0, true, false, 400),
+        (8, true, false, 600),
+        (275, true, true, 1400),
+    ];
+    let cases = cases.map(|(rank, is_first_start, has_live_peer, delay_ms)| Case {
+        rank,
+        is_first_start,
+        has_live_peer,
+        delay_ms,
+    });
+    for case in cases {
+        let delay = startup_delay(case.rank, case.is_first_start, case.has_live_peer);
+        let expected = Duration::from_millis(case.delay_ms);
+        assert_eq!(delay, expected, "rank {}", case.rank);
+    }
+}
