A token of 0 is steered; silence by others' evidence is logged

An endpoint that is silent by the report of other VMs alone left no line. Change: a token of 0 is looked up like any other. Each recount logs the endpoints that the report has made silent, with evidence=other_vms. Measured: a_flow_whose_token_is_0_is_steered failed before (NoFlow), passes now, with such an endpoint; silence_by_the_report_of_other_vms_is_told_once. Conclusion: fixed.

--- a/crates/steering/src/load.rs
+++ b/crates/steering/src/load.rs
@@ -1,6 +1,6 @@
 //! Load and liveness of endpoints, as observed by this VM and reported by the others.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 
 use slotmap::SecondaryMap;
@@ -90,6 +90,8 @@
 pub struct EndpointLoads {
     local: SecondaryMap<EndpointKey, LocalLoad>,
     report: HubReport,
+    /// Endpoints that are silent by the report and answer this VM's packets or get none.
+    silent_by_report: HashSet<EndpointKey>,
 }
 
 impl EndpointLoads {
@@ -179,6 +181,23 @@
         is_reported && !self.answered_within(key, ALIVE_WINDOW, now)
     }
 
+    /// Returns the endpoints that have become silent by the report of other VMs, and not by this
+    /// VM's own packets, since the last call.
+    pub fn take_silent_by_report(&mut self, catalog: &Catalog, now: Moment) -> Vec<EndpointKey> {
+        let unanswered = self.report.by_tag.iter().filter(|it| it.1.unanswered > 0);
+        let silent: HashSet<EndpointKey> = unanswered
+            .filter_map(|(tag, _)| {
+                let key = catalog.by_tag(*tag)?;
+                let is_reported = self.local_load(key).unanswered < SILENT_THRESHOLD
+                    && self.is_silent(key, catalog.endpoint(key)?, now);
+                is_reported.then_some(key)
+            })
+            .collect();
+        let new = silent.difference(&self.silent_by_report).copied().collect();
+        self.silent_by_report = silent;
+        new
+    }
+
     /// Returns whether a silent endpoint may be retried with a new flow.
     pub fn is_retry_due(&self, key: EndpointKey, now: Moment) -> bool {
         let local = self.local_load(key);
--- a/crates/steering/src/steer/event_log.rs
+++ b/crates/steering/src/steer/event_log.rs
@@ -72,14 +72,20 @@
     );
 }
 
-/// Logs and counts an endpoint that has become silent.
-pub(super) fn log_silent_endpoint(catalog: &Catalog, key: EndpointKey, now: Moment) {
+/// Logs and counts an endpoint that has become silent; `evidence` says whose packets it left
+/// unanswered.
+pub(super) fn log_silent_endpoint(
+    catalog: &Catalog,
+    key: EndpointKey,
+    evidence: &'static str,
+    now: Moment,
+) {
     let Some(endpoint) = catalog.endpoint(key) else {
         return;
     };
     counter!("ragwortbeam_endpoints_silent_total").increment(1);
     info!(
-        "event=endpoint_silent endpoint={:x} service={} address={} revision={} catalog_age_ms={}",
+        "event=endpoint_silent evidence={evidence} endpoint={:x} service={} address={} revision={} catalog_age_ms={}",
         endpoint.id,
         endpoint.entry.service,
         endpoint.entry.address,
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -161,7 +161,7 @@
             }
             flow.is_counted_unanswered = true;
             if endpoint_loads.record_unanswered(flow.endpoint, opened_at, now) {
-                event_log::log_silent_endpoint(&catalog, flow.endpoint, now);
+                event_log::log_silent_endpoint(&catalog, flow.endpoint, "this_vm", now);
             }
         }
     }
@@ -178,6 +178,9 @@
         };
         flows.expire(idle_timeout, now);
         endpoint_loads.set_counts(&flows.counts(now));
+        for key in endpoint_loads.take_silent_by_report(&catalog, now) {
+            event_log::log_silent_endpoint(&catalog, key, "other_vms", now);
+        }
         let dropped = catalog.drop_gone(now, self.flow_lifetime);
         endpoint_loads.remove(&dropped);
     }
@@ -210,7 +213,7 @@
                 && !flow.is_counted_unanswered
                 && endpoint_loads.record_unanswered(flow.endpoint, flow.opened_at, now)
             {
-                event_log::log_silent_endpoint(catalog, flow.endpoint, now);
+                event_log::log_silent_endpoint(catalog, flow.endpoint, "this_vm", now);
             }
             let has_answered =
                 endpoint_loads.answered_within(flow.endpoint, now.since(flow.opened_at), now);
@@ -274,11 +277,12 @@
     flows: &mut flow::Table,
     now: Moment,
 ) -> Outcome {
-    if packet.token == 0 {
-        return Outcome::Discard(DiscardReason::NoFlow);
-    }
+    // 0 is also the token of an endpoint whose tag equals the mask of the destination.
     let Some(key) = catalog.by_token(packet.token, packet.destination) else {
-        return Outcome::Discard(DiscardReason::UnknownToken);
+        return Outcome::Discard(match packet.token {
+            0 => DiscardReason::NoFlow,
+            _ => DiscardReason::UnknownToken,
+        });
     };
     let addresses = AddressPair::of(packet);
     let known_flow = flows.get_mut(addresses).filter(|flow| flow.endpoint == key);
--- a/crates/steering/tests/choice.rs
+++ b/crates/steering/tests/choice.rs
@@ -278,6 +278,37 @@
     }
 }
 
+#[test]
+fn silence_by_the_report_of_other_vms_is_told_once() {
+    let catalog = catalog(&[(1, DC_A), (2, DC_A)]);
+    let tag = |id| catalog.endpoint(key(&catalog, id)).unwrap().tag;
+    let unanswered = |unanswered| ReportedLoad {
+        unanswered,
+        ..ReportedLoad::default()
+    };
+    let hub = Ipv4Addr::new(10, 1, 0, 9);
+    let mut endpoint_loads = EndpointLoads::default();
+    let mut told = |loads: &[(u64, u32)], now_ms| {
+        let loads = loads.iter().map(|it| (tag(it.0), unanswered(it.1)));
+        endpoint_loads.apply_report(hub, 3, loads.collect(), false, at(now_ms));
+        endpoint_loads.take_silent_by_report(&catalog, at(now_ms))
+    };
+    assert_eq!(told(&[(1, 2), (2, 1)], 0), [key(&catalog, 1)]);
+    assert!(told(&[(1, 3), (2, 1)], 200).is_empty());
+    assert!(told(&[(2, 1)], 400).is_empty());
+    assert_eq!(told(&[(1, 2)], 600), [key(&catalog, 1)]);
+    // This VM's own evidence is told where it is found.
+    let second = key(&catalog, 2);
+    for _ in 0..2 {
+        endpoint_loads.record_unanswered(second, at(700), at(760));
+    }
+    assert!(
+        endpoint_loads
+            .take_silent_by_report(&catalog, at(800))
+            .is_empty()
+    );
+}
+
 #[test]
 fn adding_and_subtracting_reports_keeps_is_alive() {
     let reported = |busy, is_alive| ReportedLoad {
--- a/crates/steering/tests/steering.rs
+++ b/crates/steering/tests/steering.rs
@@ -8,7 +8,7 @@
     DC_A, Vm, address, at, configuration, data_packet, entry, expect_forwarded, ledger,
     opening_packet, removed, route, vault, written,
 };
-use ragwortbeam_steering::catalog::Traffic;
+use ragwortbeam_steering::catalog::{Entry, Traffic};
 use ragwortbeam_steering::reset::Reason;
 use ragwortbeam_steering::steer::{DiscardReason, Outcome};
 
@@ -60,6 +60,26 @@
     }
 }
 
+/// The tag of this endpoint equals the mask of the destination, so the token of its flows is 0, as
+/// in a packet of no flow.
+#[test]
+fn a_flow_whose_token_is_0_is_steered() {
+    let vm = Vm::new();
+    let endpoint = Entry {
+        born_ms: 1_000_988_186_433,
+        ..entry("ledger", 77, DC_A)
+    };
+    vm.apply_update(written(77, 30, endpoint), at(0));
+    for other in 1..=3 {
+        vm.apply_update(removed(other, 30 + other), at(0));
+    }
+    assert_eq!(vm.open(1, ledger(), at(10)), (77, 0));
+    let outcome = vm
+        .steering
+        .decide(&data_packet(1, ledger(), 0, 101, 7), at(20));
+    assert_eq!(expect_forwarded(outcome).0, 77);
+}
+
 #[test]
 fn a_new_flow_avoids_draining_and_removed_endpoints() {
     let vm = Vm::new();
