VMs that left count for ten seconds in the census

Cause: machines that leave for good would count as VMs that stand still for a minute, and a data centre that was made smaller would hand its callers over.

--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -25,6 +25,9 @@
 /// Time since a VM was last seen after which it no longer counts as one of its data centre's VMs.
 const CENSUS_WINDOW: Duration = Duration::from_secs(60);
 
+/// The same for a VM that was leaving: one that is only restarted is back before.
+const LEFT_CENSUS_WINDOW: Duration = Duration::from_secs(10);
+
 /// Time since a peer was last seen, by this VM or by others, after which it is considered
 /// down. Member lists are exchanged every two seconds.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(4);
@@ -206,7 +209,12 @@
     /// `max_silence` and it is not leaving.
     pub fn census(&self, max_silence: Duration, now: Moment) -> Census {
         let known = self.peers.values().filter(|member| {
-            member.data_centre == self.data_centre && now.since(member.last_seen_at) < CENSUS_WINDOW
+            let window = if member.is_leaving {
+                LEFT_CENSUS_WINDOW
+            } else {
+                CENSUS_WINDOW
+            };
+            member.data_centre == self.data_centre && now.since(member.last_seen_at) < window
         });
         let mut census = Census {
             known: 1,
--- a/crates/steering/tests/rotation.rs
+++ b/crates/steering/tests/rotation.rs
@@ -260,6 +260,9 @@
     }
     assert!(table.silent_vms(silence, 8, at(420)).is_empty());
     assert_eq!(table.census(silence, at(420)), census(2, 4));
+    // A VM that left and did not start again within ten seconds was taken away.
+    assert_eq!(table.census(silence, at(10_399)).known, 4);
+    assert_eq!(table.census(silence, at(10_401)).known, 3);
     // VMs that have not been seen for a minute have probably been taken away.
     table.record_direct_contact(&member(4, DC_A), at(61_000));
     assert_eq!(table.census(silence, at(61_000)), census(2, 2));
