A frame with the highest sequence number is accepted once

Cause: the replay window added its length to the sequence number, which overflows near 2^64: a panic in a debug build, every later frame refused otherwise. Only a holder of the key can send such a frame. Change: the distance is subtracted. Measured: the_highest_sequence_numbers_are_accepted_once failed before. Conclusion: fixed.

--- a/crates/ragwortbeam/src/wire/frame.rs
+++ b/crates/ragwortbeam/src/wire/frame.rs
@@ -191,7 +191,7 @@
         if incarnation > self.incarnation {
             *self = Self::new(incarnation);
         }
-        if sequence + REPLAY_WINDOW_LEN <= self.highest {
+        if self.highest.saturating_sub(sequence) >= REPLAY_WINDOW_LEN {
             return false;
         }
         self.advance(sequence);
--- a/crates/ragwortbeam/tests/frames.rs
+++ b/crates/ragwortbeam/tests/frames.rs
@@ -150,6 +150,26 @@
     assert!(opener.open(&frames[1998], now_ms, any_sender).is_ok());
 }
 
+/// A holder of the key may send any sequence number.
+#[test]
+fn the_highest_sequence_numbers_are_accepted_once() {
+    let now_ms = clock::wall_ms();
+    let opener = Opener::new(key());
+    for sequence in [1, u64::MAX - 1, u64::MAX] {
+        let frame = Frame {
+            sequence,
+            ..frame(now_ms, Some(ping()))
+        };
+        let datagram = encode_with_mac(&frame);
+        assert!(opener.open(&datagram, now_ms, any_sender).is_ok());
+        assert_eq!(
+            opener.open(&datagram, now_ms, any_sender),
+            Err(Reason::FrameReplayed),
+            "{sequence}"
+        );
+    }
+}
+
 #[test]
 fn a_frame_of_an_earlier_incarnation_is_refused() {
     let now_ms = clock::wall_ms();
