The gauge of queued requests falls, and covers all services

Cause: the gauge was set by each service's queue when a request joined it, never when one left. Change: it is raised and lowered. Measured: the_gauge_of_queued_requests_rises_and_falls failed before. Conclusion: fixed.

--- a/crates/ragwortbeam/src/dispatch/pool.rs
+++ b/crates/ragwortbeam/src/dispatch/pool.rs
@@ -154,6 +154,7 @@
 impl Drop for QueueEntry<'_> {
     fn drop(&mut self) {
         self.pool.queue_len.fetch_sub(1, Ordering::AcqRel);
+        gauge!("ragwortbeam_queued_requests").decrement(1.0);
     }
 }
 
@@ -309,7 +310,7 @@
     fn enqueue(&self) -> Result<QueueEntry<'_>, Reason> {
         let entry = QueueEntry { pool: self };
         let previous_len = self.queue_len.fetch_add(1, Ordering::AcqRel);
-        gauge!("ragwortbeam_queued_requests").set((previous_len + 1) as f64);
+        gauge!("ragwortbeam_queued_requests").increment(1.0);
         if previous_len >= self.queue_limit {
             return Err(Reason::QueueFull);
         }
