Notifications: order and last wait as in the RFCs

Cause: a value ahead by 2^23 - 1 counted as older (RFC 7641, 3.4 takes less than 2^23). A silent caller got five retransmissions, and its feed ended without a wait for the last one's acknowledgement (RFC 7252, 4.2: four, and a wait after each). Change: the order and the waits follow the RFCs; the waits are a function.

--- a/crates/ragwortbeam/src/dispatch/feed.rs
+++ b/crates/ragwortbeam/src/dispatch/feed.rs
@@ -217,5 +217,5 @@
 /// (RFC 7641, section 3.4).
 pub fn is_newer(next: u32, last: u32) -> bool {
     let distance = next.wrapping_sub(last) & SEQUENCE_MASK;
-    distance != 0 && distance < SEQUENCE_MASK / 2
+    distance != 0 && distance <= SEQUENCE_MASK / 2
 }
--- a/crates/ragwortbeam/src/dispatch/mod.rs
+++ b/crates/ragwortbeam/src/dispatch/mod.rs
@@ -5,7 +5,7 @@
 pub mod choice;
 pub mod datagrams;
 pub mod feed;
-mod notify;
+pub mod notify;
 pub mod pool;
 pub mod relocation;
 pub mod requests;
--- a/crates/ragwortbeam/src/dispatch/notify.rs
+++ b/crates/ragwortbeam/src/dispatch/notify.rs
@@ -23,6 +23,24 @@
 /// MAX_RETRANSMIT of RFC 7252, section 4.8, towards callers.
 pub const MAX_RETRANSMIT: u32 = 4;
 
+/// Wait for the caller's acknowledgement of a confirmable notification.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wait {
+    /// Time to wait.
+    pub duration: Duration,
+    /// True when the notification is sent again after the wait; false when the caller counts as
+    /// silent after it.
+    pub is_followed_by_retransmission: bool,
+}
+
+/// Returns the waits after a notification was sent, the first of which takes `first`.
+pub fn waits_for_acknowledgement(first: Duration) -> impl Iterator<Item = Wait> {
+    (0..=MAX_RETRANSMIT).map(move |retransmissions| Wait {
+        duration: first * 2_u32.pow(retransmissions),
+        is_followed_by_retransmission: retransmissions < MAX_RETRANSMIT,
+    })
+}
+
 /// Result of forwarding a notification.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -98,10 +116,9 @@
 /// Retransmits the newest confirmable notification until the caller acknowledges it. Closes
 /// the feed if the caller acknowledges none (RFC 7641, section 4.5).
 async fn retransmit_until_acknowledged(node: Arc<Node>, key: Key, token: Token) {
-    let mut ack_timeout = ACK_TIMEOUT.mul_f64(rand::rng().random_range(1.0..1.5));
-    for _ in 0..=MAX_RETRANSMIT {
-        sleep(ack_timeout).await;
-        ack_timeout *= 2;
+    let first = ACK_TIMEOUT.mul_f64(rand::rng().random_range(1.0..1.5));
+    for wait in waits_for_acknowledgement(first) {
+        sleep(wait.duration).await;
         let unconfirmed = node.flows.with(key, |record| {
             let is_owned = record.is_owned;
             let feed = record.feed_mut(token).filter(|_| is_owned)?;
@@ -110,6 +127,9 @@
         let Some(Some(datagram)) = unconfirmed else {
             return;
         };
+        if !wait.is_followed_by_retransmission {
+            break;
+        }
         counter!("ragwortbeam_notifications_retransmitted_total").increment(1);
         node.entry.send(key, &datagram);
     }
