serve adds its samples to the histograms each second

Cause: only steer ran the upkeep of its metrics, so that the samples of a serve VM accumulated until somebody read its metrics. Change: a task of the node runs it each second. Measured: none; what the recorder holds between reads cannot be read from outside. cargo check only.

--- a/crates/ragwortbeam/src/node.rs
+++ b/crates/ragwortbeam/src/node.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use coap_lite::Packet;
+use ragwortbeam_base::telemetry;
 use spdlog::{info, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
@@ -32,6 +33,10 @@
 /// more late packets.
 const IDLE_TIME_BEFORE_EXIT: Duration = Duration::from_millis(1000);
 
+/// Interval at which recorded samples are added to the histograms, so that they do not accumulate
+/// between two reads of the metrics.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval at which a stopping VM checks whether it can exit.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -122,6 +127,7 @@
             last_packet_ms: AtomicU64::new(0),
         });
         tokio::spawn(admin::serve(node.clone(), admin));
+        tokio::spawn(keep_up_metrics());
         tokio::spawn(peer::serve(node.clone(), tcp, key));
         tokio::spawn(peer::receive::run(node.clone()));
         node.read_first_configuration().await;
@@ -256,3 +262,11 @@
         .await
         .map_err(|source| Error::io(address.to_string(), source))
 }
+
+/// Adds recorded samples to the histograms until the process ends.
+async fn keep_up_metrics() {
+    loop {
+        sleep(METRICS_UPKEEP_INTERVAL).await;
+        telemetry::run_upkeep();
+    }
+}
