--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -153,6 +154,9 @@
     /// number of callers, up to 200
     #[argh(option, default = "12")]
     callers: u8,
+    /// testbed binary of another version, which runs the VMs with odd numbers
+    #[argh(option)]
+    other_binary: Option<PathBuf>,
 }
 
 /// Pause most steering VMs of a data centre and check which VMs stay in rotation, for about 40 s.
@@ -189,6 +193,7 @@
                 bursts: soak.bursts,
                 vms: soak.vms,
                 callers: soak.callers,
+                other_binary: soak.other_binary,
             };
             runtime.block_on(soak::run_seeds(&options, soak.seeds))
         }
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -65,6 +65,9 @@
     pub vms: u8,
     /// Number of callers, from 1 to 200.
     pub callers: u8,
+    /// Testbed binary of another version, which runs the VMs with odd numbers; `None` when this
+    /// binary runs all.
+    pub other_binary: Option<PathBuf>,
 }
 
 /// The VMs of a run and the stand-ins around them.
--- a/crates/testbed/src/soak/rotation.rs
+++ b/crates/testbed/src/soak/rotation.rs
@@ -74,6 +74,7 @@
         bursts: 0,
         vms: VMS,
         callers: 1,
+        other_binary: None,
     };
     let (cluster, _, rotation_task) = start_cluster(options, directory.path()).await?;
     // The VMs find each other within two rounds of the member lists.
--- a/crates/testbed/src/soak/store.rs
+++ b/crates/testbed/src/soak/store.rs
@@ -9,7 +9,7 @@
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
 use axum::routing::get;
-use ragwortbeam_platform_standin::{self as wire, RangeQuery, WatchQuery};
+use ragwortbeam_platform_standin::{self as wire, CONFIGURATION_KEY, RangeQuery, WatchQuery};
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -128,7 +128,7 @@
             )
         });
         let value = wire::configuration_value(version, listed);
-        self.put("op/config", value);
+        self.put(CONFIGURATION_KEY, value);
         self.checker.record_configuration(routes.clone());
     }
 
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -101,7 +101,11 @@
             .create(true)
             .append(true)
             .open(cluster.directory.join(format!("vm-{number}.log")))?;
-        let child = Command::new(std::env::current_exe()?)
+        let binary = match &cluster.options.other_binary {
+            Some(other) if !number.is_multiple_of(2) => other.clone(),
+            _ => std::env::current_exe()?,
+        };
+        let child = Command::new(binary)
             .args(["steering-node", "--settings"])
             .arg(settings_path(cluster, number))
             .stdin(Stdio::null())
