--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -186,12 +186,24 @@
 
 /// Runs the cases and prints their combined outcomes; returns whether no guarantee was
 /// violated.
+///
+/// # Errors
+///
+/// Returns an error if no case has the given name, and the I/O error of a stand-in or VM process
+/// that cannot be started.
 pub async fn run(options: &Options) -> std::io::Result<bool> {
+    let is_selected = |case: &&Case| options.case.is_empty() || options.case == case.name;
+    let selected: Vec<&Case> = CASES.iter().filter(is_selected).collect();
+    if selected.is_empty() {
+        let names: Vec<&str> = CASES.iter().map(|case| case.name).collect();
+        return Err(std::io::Error::other(format!(
+            "--case: expected one of {}, found {}",
+            names.join(", "),
+            options.case
+        )));
+    }
     let mut total = Outcomes::new();
-    for case in &CASES {
-        if !options.case.is_empty() && options.case != case.name {
-            continue;
-        }
+    for case in selected {
         for seed in 1..=options.seeds {
             let outcomes = run_case(case, seed, options).await?;
             for (guarantee, outcome) in &outcomes {
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -249,11 +249,17 @@
     }
 
     /// Starts one more VM, publishes it and waits until it is ready; the fabric uses it after a
-    /// further [`UPDATE_LAG`]. Returns its index, also when the VM is not ready in time.
+    /// further [`UPDATE_LAG`]. Returns its index.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with the VM's log if it is not ready in time or cannot be started.
     pub async fn join(&mut self) -> std::io::Result<usize> {
         let index = self.start_vm().await?;
         self.publish_vms(&[]);
-        self.vms[&index].wait_ready(1).await;
+        if !self.vms[&index].wait_ready(1).await {
+            return Err(self.not_ready(index));
+        }
         sleep(UPDATE_LAG).await;
         self.update_fabric();
         Ok(index)
@@ -278,14 +284,16 @@
         let is_ready = vm.wait_ready(1).await;
         self.vms.insert(index, vm);
         if !is_ready {
-            let log = self.log(index);
-            return Err(std::io::Error::other(format!(
-                "vm-{index} not ready:\n{log}"
-            )));
+            return Err(self.not_ready(index));
         }
         Ok(())
     }
 
+    fn not_ready(&self, index: usize) -> std::io::Error {
+        let log = self.log(index);
+        std::io::Error::other(format!("vm-{index} not ready:\n{log}"))
+    }
+
     /// Stops a VM gracefully: it is listed as leaving and receives SIGTERM, and the fabric stops
     /// using it after [`UPDATE_LAG`]. Returns whether it exited with success in time; false also
     /// when no VM with this index runs.
--- a/crates/testbed/tests/faults.rs
+++ b/crates/testbed/tests/faults.rs
@@ -3,6 +3,7 @@
 //!
 //! Gaps in feeds and drain times depend on the speed; the `faults` command checks them.
 
+use std::process::Command;
 use std::time::Duration;
 
 use ragwortbeam_testbed::checker::Guarantee;
@@ -39,6 +40,21 @@
     }
 }
 
+/// A misspelt name would otherwise pass as a run without violations.
+#[test]
+fn an_unknown_case_is_an_error() {
+    let output = Command::new(env!("CARGO_BIN_EXE_ragwortbeam-testbed"))
+        .args(["faults", "--case", "splitt"])
+        .output()
+        .unwrap();
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    assert!(
+        message.contains("--case: expected one of") && message.contains("found splitt"),
+        "{message}"
+    );
+}
+
 async fn expect_no_violations(name: &str, seed: u64) {
     let case = CASES.iter().find(|case| case.name == name).unwrap();
     let outcomes = run_case_in(world_config(seed), load(), case).await.unwrap();
