Lines about reported silence are bounded

Change: 20 a second and process, with left_out; the counter has a label. Conclusion: bounded as the other lines about packets are.

--- a/crates/steering/src/steer/event_log.rs
+++ b/crates/steering/src/steer/event_log.rs
@@ -18,6 +18,10 @@
 /// Limit for lines about resets, discarded packets and failed sends, 20 a second.
 static REJECTION_LIMITER: RateLimiter = RateLimiter::new(20);
 
+/// Limit for lines about endpoints that are silent by the report, 20 a second: many endpoints may
+/// end at once, and each VM hears of all of them.
+static REPORTED_SILENCE_LIMITER: RateLimiter = RateLimiter::new(20);
+
 /// Logs why a flow was reset or a packet discarded; `event` is the event name of the line.
 pub(super) fn log_rejected_packet(event: &str, packet: &Packet, reason: &str, steering: &Steering) {
     let Some(suppressed) = REJECTION_LIMITER.try_acquire() else {
@@ -72,20 +76,32 @@
     );
 }
 
-/// Logs and counts an endpoint that has become silent; `evidence` says whose packets it left
-/// unanswered.
-pub(super) fn log_silent_endpoint(
+/// Logs and counts an endpoint that has left this VM's packets unanswered.
+pub(super) fn log_silent_endpoint(catalog: &Catalog, key: EndpointKey, now: Moment) {
+    counter!("ragwortbeam_endpoints_silent_total", "evidence" => "this_vm").increment(1);
+    write_silent_endpoint(catalog, key, "this_vm", 0, now);
+}
+
+/// Logs and counts an endpoint that is silent by the report of other VMs.
+pub(super) fn log_reported_silence(catalog: &Catalog, key: EndpointKey, now: Moment) {
+    counter!("ragwortbeam_endpoints_silent_total", "evidence" => "other_vms").increment(1);
+    if let Some(suppressed) = REPORTED_SILENCE_LIMITER.try_acquire() {
+        write_silent_endpoint(catalog, key, "other_vms", suppressed, now);
+    }
+}
+
+fn write_silent_endpoint(
     catalog: &Catalog,
     key: EndpointKey,
-    evidence: &'static str,
+    evidence: &str,
+    suppressed: u64,
     now: Moment,
 ) {
     let Some(endpoint) = catalog.endpoint(key) else {
         return;
     };
-    counter!("ragwortbeam_endpoints_silent_total").increment(1);
     info!(
-        "event=endpoint_silent evidence={evidence} endpoint={:x} service={} address={} revision={} catalog_age_ms={}",
+        "event=endpoint_silent evidence={evidence} endpoint={:x} service={} address={} revision={} catalog_age_ms={} left_out={suppressed}",
         endpoint.id,
         endpoint.entry.service,
         endpoint.entry.address,
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -161,7 +161,7 @@
             }
             flow.is_counted_unanswered = true;
             if endpoint_loads.record_unanswered(flow.endpoint, opened_at, now) {
-                event_log::log_silent_endpoint(&catalog, flow.endpoint, "this_vm", now);
+                event_log::log_silent_endpoint(&catalog, flow.endpoint, now);
             }
         }
     }
@@ -179,7 +179,7 @@
         flows.expire(idle_timeout, now);
         endpoint_loads.set_counts(&flows.counts(now));
         for key in endpoint_loads.take_silent_by_report(&catalog, now) {
-            event_log::log_silent_endpoint(&catalog, key, "other_vms", now);
+            event_log::log_reported_silence(&catalog, key, now);
         }
         let dropped = catalog.drop_gone(now, self.flow_lifetime);
         endpoint_loads.remove(&dropped);
@@ -213,7 +213,7 @@
                 && !flow.is_counted_unanswered
                 && endpoint_loads.record_unanswered(flow.endpoint, flow.opened_at, now)
             {
-                event_log::log_silent_endpoint(catalog, flow.endpoint, "this_vm", now);
+                event_log::log_silent_endpoint(catalog, flow.endpoint, now);
             }
             let has_answered =
                 endpoint_loads.answered_within(flow.endpoint, now.since(flow.opened_at), now);
