--- a/crates/steering/src/mesh/mod.rs
+++ b/crates/steering/src/mesh/mod.rs
@@ -4,7 +4,8 @@
 //! highest weights. A hub answers with the sum over all other VMs for the endpoints in the sender's
 //! subset. Hubs exchange the sums of their data centres with one hub of every remote data centre.
 //! The traffic of a VM therefore does not grow with the fleet, and that of a hub grows only with
-//! its data centre.
+//! its data centre. The first hub also counts the VMs of its data centre and decides for them
+//! whether they stay in rotation.
 
 mod aggregate;
 pub mod columns;
