--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,116 +1,90 @@
-"""FLOW: another writer's entry without `born` makes a VM reset flows of an endpoint that lives."""
+"""CONFIG: a VM steps in as reader on a connection that has gone silent, and acts on an old
+configuration for longer than the bound. TROUBLE=kill leaves out only the silent connection."""
 
 import asyncio
-import json
+import os
+import signal
 
 from flows import ClientFlow
 from scenario import CannotRun, main
-from site_platform import CONTACT_S, wait_until
-
-PAUSE_S = 3.0
-WORK_S = 0.047
-STRAGGLER_S = 0.33
-FEEDS = 8
-FEED_S = 24.0
-NEW_FLOWS_S = 8.0
-
-
-def work(request):
-    """Duration of a request: every third one of a feed is a straggler."""
-    is_feed = request.startswith("feed")
-    return STRAGGLER_S if is_feed and int(request.rsplit("-", 1)[1]) % 3 == 0 else WORK_S
-
-
-async def feed(deployment, flow, name, answered):
-    """A workshop's reading feed: one request at a time on one flow, with pauses between them."""
-    record = deployment.record
-    if not await flow.open():
-        record.write(f"client: {name} {flow.outcome}")
-        return
-    opened_at = record.now()
-    number = 0
-    while flow.outcome is None and record.now() - opened_at < FEED_S:
-        number += 1
-        request = f"{name}-{number}"
-        if await flow.request(request) is None:
-            break
-        record.write(f"client: {request} answered")
-        answered.append(request)
-        await asyncio.sleep(PAUSE_S)
-    if flow.outcome is None:
+from site_platform import CONFIG_APPLY_S, wait_until
+
+KEPT_PORT, DROPPED_PORT = 8443, 8080
+# Time from the silence of the connections until the reader is killed; contactMs is 4 s.
+SILENCE_S = 8.0
+IDLE_S = 3.0
+PROBE_INTERVAL_S = 0.01
+RESTART_S = 3.5
+WORK_S = 0.01
+
+
+async def probe(deployment, client, route, vm, results):
+    """Opens a flow on the dropped route through one VM and sends a request."""
+    sent_at = deployment.record.now()
+    flow = ClientFlow(client, route, vm)
+    if await flow.open():
+        request = f"probe-{flow.source[1]}"
+        head = await flow.request(request, 2.0)
+        results.append((sent_at, request if head else None))
         flow.close()
-    record.write(f"client: {name} ended: {flow.outcome}")
-    if flow.outcome == "reset by the system":
-        check_reset(deployment, flow, f"{name}-{number}")
-
-
-def check_reset(deployment, flow, request):
-    """FLOW (a): a reset that the flow's endpoint did not send, while that endpoint lives, with no
-    disruption on it in the last contactMs."""
-    now = deployment.record.now()
-    for endpoint in deployment.endpoints:
-        holds = (flow.source, flow.route) in endpoint.flows
-        if holds and now - endpoint.started_at > CONTACT_S:
-            runs = any(it[1] == request for it in endpoint.executed)
-            deployment.violation(
-                f"FLOW: {flow.source[1]} is open at endpoint {endpoint.number}, which has run for "
-                f"{now - endpoint.started_at:.1f} s, and was reset by the system; request {request} "
-                f"{'runs there and is never answered' if runs else 'was not run'}"
-            )
-
-
-async def single_request(deployment, client, route, name, counts):
-    """A flow with a single request, as an observer of new flows."""
-    flow = ClientFlow(client, route)
-    if await flow.open() and await flow.request(f"{name}-1", 2.0):
-        counts["served"] += 1
-        flow.close()
-    else:
-        counts["not served"] += 1
-        deployment.record.write(f"client: {name} {flow.outcome}")
 
 
 async def case(deployment):
-    store, record = deployment.store, deployment.record
-    route = (deployment.network.route_ip(1), 8443)
-    deployment.configure([(*route, "safe", "calib-ledger")])
-    await deployment.add_vm()
-    await deployment.add_vm()
-    for _ in range(2):
-        await deployment.add_endpoint("calib-ledger", work)
+    network, record = deployment.network, deployment.record
+    kept, dropped = (network.route_ip(1), KEPT_PORT), (network.route_ip(1), DROPPED_PORT)
+    both = [(*kept, "safe", "calib-ledger"), (*dropped, "safe", "calib-ledger")]
+    deployment.configure(both)
+    endpoint = await deployment.add_endpoint("calib-ledger", lambda _: WORK_S)
     client = await deployment.add_client()
+    # VM 1 starts first and reads the store until VM 2 of the first data centre by name takes over.
+    standby = await deployment.add_vm("nbo-b")
     await deployment.wait_for_rotation()
-    await asyncio.sleep(3.0)
-
-    feeds, answered = [], []
-    for number in range(FEEDS):
-        flow = ClientFlow(client, route)
-        feeds.append(deployment.spawn(feed(deployment, flow, f"feed{number}", answered)))
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(2.0)
+    reader = await deployment.add_vm("nbo-a")
+    await deployment.wait_for_rotation()
+    await asyncio.sleep(6.0)
+    record.write(f"store: {len(deployment.store.connections)} open connections")
+    has_silence = deployment.has_trouble and os.environ.get("TROUBLE") != "kill"
+    if has_silence:
+        count = deployment.store.silence_idle_connections(IDLE_S)
+        record.write(f"store: {count} idle connections go silent for good; others and new ones work")
+        if count != 1:
+            raise CannotRun("the VM that steps in has no idle connection")
+    await asyncio.sleep(SILENCE_S)
+
+    # The reader is killed as it has just passed on a change; the next one is acknowledged then.
+    answered = asyncio.Event()
+    deployment.store.on_watch_answered = lambda _: answered.set()
+    deployment.configure(both)
+    await asyncio.wait_for(answered.wait(), 3.0)
+    await asyncio.sleep(0.05)
+    deployment.store.on_watch_answered = None
+    if deployment.has_trouble:
+        reader.signal(signal.SIGKILL)
+        await reader.process.wait()
+    acknowledged_at = deployment.configure([both[0]])
     if deployment.has_trouble:
-        # Another writer replaces the entries by ones without some fields. Each endpoint restores
-        # its own with its next heartbeat.
-        for endpoint in deployment.endpoints:
-            entry = json.loads(store.items[endpoint.key()][1])
-            del entry["born"], entry["callSeq"]
-            store.put(endpoint.key(), entry)
-            record.write(f"store: another writer wrote the entry of endpoint {endpoint.number}: {json.dumps(entry)}")
-    await asyncio.sleep(CONTACT_S)
-    counts, observers = {"served": 0, "not served": 0}, []
-    started_at = record.now()
-    while record.now() - started_at < NEW_FLOWS_S:
-        name = f"new{len(observers)}"
-        observers.append(deployment.spawn(single_request(deployment, client, route, name, counts)))
-        await asyncio.sleep(0.2)
-    await asyncio.gather(*observers)
-    record.write(f"client: new flows later than {CONTACT_S:.0f} s after that: {counts}")
-    await wait_until(lambda: all(it.done() for it in feeds), 40.0)
-    for it in feeds:
-        if it.done():
-            it.result()
-    if len(answered) < FEEDS:
-        raise CannotRun(f"only {len(answered)} requests were answered")
+        deployment.spawn(restart_later(reader))
+
+    results, probes = [], []
+    while record.now() < acknowledged_at + CONFIG_APPLY_S + 1.5:
+        probes.append(deployment.spawn(probe(deployment, client, dropped, standby, results)))
+        await asyncio.sleep(PROBE_INTERVAL_S)
+    await asyncio.gather(*probes)
+    late = [it for it in results if it[0] > acknowledged_at + CONFIG_APPLY_S and it[1]]
+    last = max((it[0] for it in results if it[1]), default=acknowledged_at)
+    record.write(f"client: the dropped route was last served for a request sent {last - acknowledged_at:.3f} s after the acknowledgement")
+    for sent_at, request in late:
+        deployment.violation(
+            f"CONFIG: {request}, sent {sent_at - acknowledged_at:.3f} s after the acknowledgement, was "
+            "run on the dropped route"
+        )
+    if not any(sent_at < acknowledged_at + 0.2 for sent_at, _ in results):
+        raise CannotRun("no probe was served before the change could be in force")
+
+
+async def restart_later(vm):
+    await asyncio.sleep(RESTART_S)
+    await vm.start()
 
 
 main(case, __file__)
