--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """FLOW: an endpoint restarts under its id, and a VM resets a flow that the new start serves."""
 
 import asyncio
-import random
+import os
 
 from flows import ClientFlow
 from scenario import CannotRun, main
@@ -12,6 +12,8 @@
 STRAGGLER_S = 0.33
 # Time from the crash until the endpoint listens again.
 RESTART_S = 0.1
+# Time from then until the endpoint writes its entry for the first time.
+FIRST_WRITE_S = float(os.environ.get("FIRST_WRITE_S", HEARTBEAT_S / 2))
 FEEDS_BEFORE = 4
 FEEDS_AFTER = 6
 END_S = 60.0
@@ -89,11 +91,10 @@
         await asyncio.sleep(RESTART_S)
         # An endpoint writes its entry about every heartbeat: the first time half of one after it
         # has begun to listen. The entry of its previous start stands until then.
-        await endpoint.start(first_write_after_s=HEARTBEAT_S / 2)
-    await asyncio.sleep(0.1)
+        await endpoint.start(FIRST_WRITE_S)
     for number in range(FEEDS_AFTER):
         start_feed(f"after{number}")
-        await asyncio.sleep(0.08)
+        await asyncio.sleep(0.005 if number < 3 else 0.08)
     await wait_until(lambda: all(it.done() for it in feeds), END_S)
     for it in feeds:
         if it.done():
--- a/review/standins/scenario.py
+++ b/review/standins/scenario.py
@@ -7,6 +7,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import traceback
 
@@ -87,6 +88,10 @@
 
 
 async def _run(case, case_folder):
+    # A run that is stopped from outside ends its processes too.
+    run = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, run.cancel)
     with temporary_folder() as folder:
         deployment = Deployment(case_folder, folder)
         try:
@@ -110,4 +115,7 @@
 
 
 def main(case, case_file):
-    sys.exit(asyncio.run(_run(case, os.path.dirname(os.path.abspath(case_file)))))
+    try:
+        sys.exit(asyncio.run(_run(case, os.path.dirname(os.path.abspath(case_file)))))
+    except asyncio.CancelledError:
+        sys.exit(2)
