Log lines of rejected packets name the endpoint instance

Change: endpoint, born_ms, gone_ms, newest_born_ms and newest_gone_ms, each - where it does not apply, on event=flow_reset and event=packet_discarded.

--- a/crates/steering/src/steer/event_log.rs
+++ b/crates/steering/src/steer/event_log.rs
@@ -28,19 +28,48 @@
         return;
     };
     let catalog = steering.catalog.lock().unwrap();
+    let now = Moment::now();
     info!(
-        "event={event} flow={}>{} reason={reason} opens={} copy_or_ack={} token={:08x} config={} revision={} catalog_age_ms={} left_out={suppressed}",
+        "event={event} flow={}>{} reason={reason} opens={} copy_or_ack={} token={:08x} {} config={} revision={} catalog_age_ms={} left_out={suppressed}",
         packet.caller,
         packet.destination,
         packet.flags.opens,
         packet.acknowledged,
         packet.token,
+        describe_instance(packet, &catalog, now),
         catalog.configuration().version,
         catalog.revision(),
-        catalog.age(Moment::now()).as_millis(),
+        catalog.age(now).as_millis(),
     );
 }
 
+/// Returns log fields about the endpoint instance that a packet's token identifies: its start, the
+/// start of the endpoint's newest instance, and how long the entry of each has been gone. A time is
+/// `-` while the entry stands, and each field is `-` for a packet that belongs to no instance.
+fn describe_instance(packet: &Packet, catalog: &Catalog, now: Moment) -> String {
+    let key = catalog
+        .by_token(packet.token, packet.destination)
+        .filter(|_| !packet.flags.opens);
+    let instance = key.and_then(|key| catalog.endpoint(key));
+    let newest = key.and_then(|key| catalog.forwarding_endpoint(key));
+    let gone_ms = |endpoint: Option<&Endpoint>| {
+        let gone = endpoint.and_then(|endpoint| endpoint.gone_for(now));
+        or_dash(gone.map(|gone| gone.as_millis()))
+    };
+    format!(
+        "endpoint={} born_ms={} gone_ms={} newest_born_ms={} newest_gone_ms={}",
+        or_dash(instance.map(|it| format!("{:x}", it.id))),
+        or_dash(instance.map(|it| it.entry.born_ms)),
+        gone_ms(instance),
+        or_dash(newest.map(|it| it.entry.born_ms)),
+        gone_ms(newest),
+    )
+}
+
+fn or_dash(value: Option<impl ToString>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
+
 /// Logs the endpoint chosen for a new flow, with the load counts that the choice was based on.
 pub(super) fn log_flow_placed(
     packet: &Packet,
