A flow is reset only when its endpoint's newest start is gone

Callers saw: an endpoint restarted under its id. Cause: the token names the previous start. Packets were forwarded to the newest one, but the decision on a reset asked about the start in the token, which counts as removed since its entry was replaced. Evidence: flow_reset ... born_ms= gone_ms=5706 newest_born_ms= newest_gone_ms=- catalog_age_ms=93 on both VMs, without endpoint_removed. It rules out the endpoint's own reset, a lapsed or removed entry, an outdated catalog and a dropped route. Change: reset::may_reset_open asks the newest instance. One function records an entry from the store or a neighbour, and an instance whose entry returns is the newest again; it was taken for a third one with an ambiguous tag, which got no flows for good. A replaced instance does not pass for one whose entry lapsed. Conclusion: while the endpoint lives it resets what it does not hold; a VM need not.

--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -88,12 +88,17 @@
         self.by_tag(token ^ address_mask(destination))
     }
 
+    /// Returns the newest instance of an instance's endpoint.
+    pub fn newest_instance(&self, key: EndpointKey) -> Option<EndpointKey> {
+        let endpoint = self.endpoints.get(key)?;
+        self.by_id.get(&endpoint.id).copied()
+    }
+
     /// Returns the newest instance of an endpoint, to which packets for any of its instances are
-    /// forwarded. It rejects flows of earlier instances.
+    /// forwarded. It resets the flows that it does not hold. It may hold flows with the token of
+    /// the previous instance: those that it accepted before its own entry was known here.
     pub fn forwarding_endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
-        let endpoint = self.endpoints.get(key)?;
-        let newest = self.by_id.get(&endpoint.id)?;
-        self.endpoints.get(*newest)
+        self.endpoints.get(self.newest_instance(key)?)
     }
 
     /// Returns whether another instance has the same tag, so that tokens do not identify this one.
@@ -156,13 +161,8 @@
             return false;
         }
         match (update.change, current) {
-            (Change::Written(entry), Some(key))
-                if self.endpoints[key].entry.born_ms == entry.born_ms =>
-            {
-                self.update_endpoint(key, entry, update.revision, None, now);
-            }
             (Change::Written(entry), _) => {
-                self.insert_endpoint(update.endpoint, entry, update.revision, None, now);
+                self.put_entry(update.endpoint, entry, update.revision, None, now);
             }
             (Change::Removed, Some(key)) => {
                 let endpoint = &mut self.endpoints[key];
@@ -192,10 +192,7 @@
             return false;
         }
         let (entry, revision, removal) = (endpoint.entry, endpoint.revision, endpoint.removal);
-        match current.filter(|key| self.endpoints[*key].entry.born_ms == entry.born_ms) {
-            Some(key) => self.update_endpoint(key, entry, revision, removal, now),
-            None => self.insert_endpoint(endpoint.id, entry, revision, removal, now),
-        }
+        self.put_entry(endpoint.id, entry, revision, removal, now);
         true
     }
 
@@ -252,26 +249,9 @@
         dropped
     }
 
-    fn update_endpoint(
-        &mut self,
-        key: EndpointKey,
-        entry: Entry,
-        revision: u64,
-        removal: Option<Removal>,
-        now: Moment,
-    ) {
-        let endpoint = &mut self.endpoints[key];
-        endpoint.warmup_ends_at = now + entry.warmup_left;
-        endpoint.entry = entry;
-        endpoint.revision = revision;
-        endpoint.removal = removal;
-        match removal {
-            Some(removal) => log_endpoint("endpoint_removed", endpoint, removal.hold),
-            None => log_endpoint("endpoint_changed", endpoint, Duration::ZERO),
-        }
-    }
-
-    fn insert_endpoint(
+    /// Records an entry as that of the endpoint's newest instance, which is the known one with the
+    /// entry's start time or a new one. Another instance that was the newest is replaced.
+    fn put_entry(
         &mut self,
         id: u64,
         entry: Entry,
@@ -279,11 +259,13 @@
         removal: Option<Removal>,
         now: Moment,
     ) {
-        if let Some(previous) = self.by_id.get(&id) {
-            let hold = Duration::ZERO;
+        let known = self.instance(id, entry.born_ms);
+        if let Some(previous) = self.by_id.get(&id)
+            && known != Some(*previous)
+        {
             self.endpoints[*previous].removal = Some(Removal {
                 observed_at: now,
-                hold,
+                hold: Duration::ZERO,
             });
         }
         let tag = tag(id, entry.born_ms);
@@ -295,10 +277,37 @@
             tag,
             removal,
         };
-        log_endpoint("endpoint_added", &endpoint, Duration::ZERO);
-        let key = self.endpoints.insert(endpoint);
+        let key = match known {
+            Some(key) => {
+                match removal {
+                    Some(removal) => log_endpoint("endpoint_removed", &endpoint, removal.hold),
+                    None => log_endpoint("endpoint_changed", &endpoint, Duration::ZERO),
+                }
+                self.endpoints[key] = endpoint;
+                key
+            }
+            None => {
+                log_endpoint("endpoint_added", &endpoint, Duration::ZERO);
+                let key = self.endpoints.insert(endpoint);
+                self.by_tag.entry(tag).or_insert(key);
+                key
+            }
+        };
         self.by_id.insert(id, key);
-        self.by_tag.entry(tag).or_insert(key);
+    }
+
+    /// Returns the instance of an endpoint with a start time; `None` when it is not known.
+    fn instance(&self, id: u64, born_ms: u64) -> Option<EndpointKey> {
+        let is_wanted = |key: &EndpointKey| {
+            let endpoint = &self.endpoints[*key];
+            endpoint.id == id && endpoint.entry.born_ms == born_ms
+        };
+        // The newest instance is checked first, as another endpoint may have the same tag.
+        let newest = self.by_id.get(&id).copied();
+        let tagged = self.by_tag(tag(id, born_ms));
+        newest
+            .filter(is_wanted)
+            .or_else(|| tagged.filter(is_wanted))
     }
 }
 
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -90,7 +90,12 @@
         *endpoint.entry.service == *request.service && !catalog.is_ambiguous(*key)
     };
     let is_usable = |it: &(EndpointKey, &Endpoint)| is_addressable(it) && it.1.accepts_flows(now);
-    let is_lapsed = |it: &(EndpointKey, &Endpoint)| is_addressable(it) && it.1.may_have_lapsed(now);
+    // The entry of a replaced instance did not lapse: its endpoint has a newer one.
+    let is_lapsed = |it: &(EndpointKey, &Endpoint)| {
+        is_addressable(it)
+            && it.1.may_have_lapsed(now)
+            && catalog.newest_instance(it.0) == Some(it.0)
+    };
     let candidate = |(key, endpoint)| Candidate {
         key,
         endpoint,
--- a/crates/steering/src/reset.rs
+++ b/crates/steering/src/reset.rs
@@ -45,16 +45,24 @@
     catalog.age(now) <= MAX_CATALOG_AGE
 }
 
-/// Returns whether an open flow on this endpoint may be reset after the caller retransmitted data
-/// without an answer.
+/// Returns whether an open flow with the token of this endpoint instance may be reset after the
+/// caller retransmitted data without an answer.
+///
+/// The newest instance of the endpoint decides. While it lives it may hold the flow, which it
+/// accepted before its own entry was known here, and it resets the flows that it does not hold.
 pub fn may_reset_open(
-    key: catalog::EndpointKey,
-    endpoint: &Endpoint,
+    instance: catalog::EndpointKey,
+    catalog: &Catalog,
     endpoint_loads: &EndpointLoads,
     now: Moment,
 ) -> bool {
-    let is_gone = endpoint
-        .gone_for(now)
+    let Some(newest) = catalog.newest_instance(instance) else {
+        return false;
+    };
+    let is_gone = catalog
+        .endpoint(newest)
+        .and_then(|endpoint| endpoint.gone_for(now))
         .is_some_and(|gone| gone >= RESET_DELAY);
-    is_gone && !endpoint_loads.answered_within(key, RECENT_ANSWER_WINDOW, now)
+    let has_answered = |key| endpoint_loads.answered_within(key, RECENT_ANSWER_WINDOW, now);
+    is_gone && !has_answered(instance) && !has_answered(newest)
 }
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -307,11 +307,7 @@
     if observation.endpoint_answered {
         endpoint_loads.record_answer(key, now);
     }
-    let may_reset = || {
-        let endpoint = catalog.endpoint(key);
-        endpoint.is_some_and(|endpoint| reset::may_reset_open(key, endpoint, endpoint_loads, now))
-    };
-    if observation.is_retransmission && may_reset() {
+    if observation.is_retransmission && reset::may_reset_open(key, catalog, endpoint_loads, now) {
         flows.remove(addresses);
         return Outcome::Reset(Reason::EndpointGone);
     }
--- a/crates/steering/tests/catalog.rs
+++ b/crates/steering/tests/catalog.rs
@@ -135,6 +135,37 @@
     assert_ne!(tag(1, 1000), tag(1, 2000));
 }
 
+/// Guards against an endpoint that gets no new flows for good: an instance whose entry returns after
+/// that of another start was taken for a third one with an ambiguous tag.
+#[test]
+fn an_instance_whose_entry_returns_is_the_newest_again() {
+    let start = |born_ms| {
+        let mut entry = entry("ledger", 1, DC_A);
+        entry.born_ms = born_ms;
+        entry
+    };
+    let mut read = Catalog::default();
+    let mut merged = Catalog::default();
+    for (revision, born_ms) in [(5, 1000), (6, 2000), (7, 1000), (8, 2000), (9, 1000)] {
+        read.apply_update(written(1, revision, start(born_ms)), at(0), HOLD);
+        merged.merge(&read.changed_after(revision - 1, at(0)), at(0));
+    }
+    let mut copied = Catalog::default();
+    copied.merge(&read.changed_after(0, at(0)), at(0));
+    for (name, catalog) in [("read", read), ("merged", merged), ("copied", copied)] {
+        let key = catalog.by_tag(tag(1, 1000)).unwrap();
+        assert!(!catalog.is_ambiguous(key), "{name}");
+        let endpoint = catalog.endpoint(key).unwrap();
+        assert!(endpoint.accepts_flows(at(1)), "{name}");
+        assert_eq!(endpoint.revision, 9, "{name}");
+        let earlier = catalog.by_tag(tag(1, 2000)).unwrap();
+        assert!(!catalog.endpoint(earlier).unwrap().accepts_flows(at(1)));
+        let forwarding = catalog.forwarding_endpoint(earlier).unwrap();
+        assert_eq!(forwarding.entry.born_ms, 1000, "{name}");
+        assert_eq!(catalog.endpoints().count(), 2, "{name}");
+    }
+}
+
 #[test]
 fn a_full_read_removes_entries_that_it_lacks() {
     let mut catalog = Catalog::default();
--- a/crates/steering/tests/steering.rs
+++ b/crates/steering/tests/steering.rs
@@ -8,7 +8,7 @@
     DC_A, Vm, address, at, configuration, data_packet, entry, expect_forwarded, ledger,
     opening_packet, removed, route, vault, written,
 };
-use ragwortbeam_steering::catalog::{Entry, Traffic};
+use ragwortbeam_steering::catalog::{Entry, Traffic, address_mask, tag};
 use ragwortbeam_steering::reset::Reason;
 use ragwortbeam_steering::steer::{DiscardReason, Outcome};
 
@@ -278,6 +278,128 @@
     }
 }
 
+/// Guards against the reset of a flow that a restarted endpoint accepted before its new entry arrived:
+/// the flow has the token of the previous start, whose entry is replaced while the endpoint lives.
+#[test]
+fn a_flow_opened_between_a_restart_and_its_new_entry_is_reset_only_after_the_new_start_is_gone() {
+    /// Way in which the entry of the new start reaches this VM.
+    enum Source {
+        /// An update that this VM reads from the store.
+        Store,
+        /// The catalog of another VM.
+        Neighbour,
+        /// A full read of the store, which has the new entry only.
+        FullRead,
+        /// An update, after which an entry of the previous start is written once more.
+        StoreTwice,
+    }
+    struct Case {
+        name: &'static str,
+        source: Source,
+        /// Time at which the entry of the new start is removed, milliseconds.
+        removed_at: Option<u64>,
+        /// Time at which another flow shows that the new start is alive, milliseconds.
+        alive_at: Option<u64>,
+        is_reset: bool,
+    }
+    let lives = |name, source| Case {
+        name,
+        source,
+        removed_at: None,
+        alive_at: None,
+        is_reset: false,
+    };
+    let cases = [
+        lives("update from the store", Source::Store),
+        lives("merge from a neighbour", Source::Neighbour),
+        lives("full read", Source::FullRead),
+        lives("late entry of the previous start", Source::StoreTwice),
+        Case {
+            removed_at: Some(1000),
+            is_reset: true,
+            ..lives("new start gone", Source::Store)
+        },
+        Case {
+            removed_at: Some(1000),
+            alive_at: Some(3000),
+            ..lives("new start gone but alive", Source::Store)
+        },
+        Case {
+            removed_at: Some(3500),
+            ..lives("new start removed recently", Source::Neighbour)
+        },
+    ];
+    for case in cases {
+        let vm = Vm::new();
+        for other in [2, 3] {
+            vm.apply_update(removed(other, 20 + other), at(0));
+        }
+        let (endpoint, token) = vm.open(1, ledger(), at(10));
+        let sent = data_packet(1, ledger(), token, 101, 7);
+        vm.steering.decide(&sent, at(20));
+        let restarted = Entry {
+            born_ms: 2000,
+            ..entry("ledger", 1, DC_A)
+        };
+        let update = written(endpoint, 40, restarted.clone());
+        match case.source {
+            Source::Store => vm.apply_update(update, at(600)),
+            Source::Neighbour => {
+                let neighbour = Vm::new();
+                neighbour.apply_update(update, at(600));
+                let changes = neighbour.catalog.lock().unwrap().changed_after(20, at(600));
+                vm.catalog.lock().unwrap().merge(&changes, at(600));
+            }
+            Source::FullRead => {
+                vm.apply_update(update, at(600));
+                let mut catalog = vm.catalog.lock().unwrap();
+                catalog.remove_missing(&[endpoint, 9], 40, at(600), Duration::ZERO);
+            }
+            Source::StoreTwice => {
+                vm.apply_update(update, at(600));
+                vm.apply_update(written(endpoint, 41, entry("ledger", 1, DC_A)), at(610));
+                vm.apply_update(written(endpoint, 42, restarted), at(620));
+            }
+        }
+        if let Some(removed_at) = case.removed_at {
+            vm.apply_update(removed(endpoint, 50), at(removed_at));
+        }
+        if let Some(alive_at) = case.alive_at {
+            let new_token = tag(endpoint, 2000) ^ address_mask(ledger());
+            for acknowledged in [7, 8] {
+                let packet = data_packet(2, ledger(), new_token, 101, acknowledged);
+                vm.steering.decide(&packet, at(alive_at));
+            }
+        }
+        let outcome = vm.steering.decide(&sent, at(4000));
+        let is_reset = outcome == Outcome::Reset(Reason::EndpointGone);
+        assert_eq!(is_reset, case.is_reset, "{}: {outcome:?}", case.name);
+        if !case.is_reset {
+            assert_eq!(expect_forwarded(outcome).0, endpoint, "{}", case.name);
+        }
+    }
+}
+
+/// Guards against new flows on an endpoint that drains: the entry of its previous start was replaced
+/// a moment ago and must not pass for one that has lapsed.
+#[test]
+fn a_replaced_start_gets_no_new_flows_while_its_endpoint_drains() {
+    let vm = Vm::new();
+    for other in [2, 3] {
+        vm.apply_update(removed(other, 20 + other), at(0));
+    }
+    let draining = Entry {
+        born_ms: 2000,
+        is_draining: true,
+        ..entry("ledger", 1, DC_A)
+    };
+    vm.apply_update(written(1, 40, draining), at(5000));
+    let outcome = vm
+        .steering
+        .decide(&opening_packet(1, ledger(), 0), at(5010));
+    assert_eq!(outcome, Outcome::Reset(Reason::NoEndpoint));
+}
+
 #[test]
 fn load_counts_follow_the_state_of_a_flow() {
     let vm = Vm::new();
