Log when a VM begins and ends to read, and the idle time of a connection

Change: event=reader_steps_in also for the first reader (is_first_reader), event=reader_steps_back, and the idle time in the error of a request without an answer.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -13,6 +13,8 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
+use crate::clock::Moment;
+
 /// Maximum length of a body, bytes; enough for several of the largest values that a store holds.
 const MAX_BODY_LEN: usize = 16 << 20;
 
@@ -21,9 +23,18 @@
 #[derive(Display, Error, From)]
 pub enum Failure {
     /// There was no complete answer within the time allowed.
-    #[display("no answer within {} ms", _0.as_millis())]
+    #[display(
+        "no answer within {} ms on a connection that was idle for {} ms",
+        time_limit.as_millis(),
+        idle.as_millis()
+    )]
     #[from(skip)]
-    Timeout(#[error(not(source))] Duration),
+    Timeout {
+        /// Time allowed for the request.
+        time_limit: Duration,
+        /// Time since the last answer on the connection; zero for a new one.
+        idle: Duration,
+    },
     /// The connection could not be opened.
     #[display("connect: {_0}")]
     Connect(std::io::Error),
@@ -50,6 +61,13 @@
 
 type Sender = SendRequest<Empty<Bytes>>;
 
+/// Open connection without an outstanding request.
+#[derive(Debug)]
+struct Connection {
+    sender: Sender,
+    answered_at: Moment,
+}
+
 /// Client of one server.
 ///
 /// Requests are sent one after the other on one connection. It is closed after any failure, since
@@ -57,7 +75,7 @@
 #[derive(Debug)]
 pub struct Client {
     server: String,
-    connection: Mutex<Option<Sender>>,
+    connection: Mutex<Option<Connection>>,
 }
 
 impl Client {
@@ -77,11 +95,18 @@
     /// [`Failure`] if there is no complete answer. An answer with an error status is not a failure.
     pub async fn get(&self, path: &str, time_limit: Duration) -> Result<Answer, Failure> {
         let mut connection = self.connection.lock().await;
-        let previous_sender = connection.take();
-        let (answer, sender) = timeout(time_limit, self.exchange(previous_sender, path))
+        let previous = connection.take();
+        let idle = previous.as_ref().map_or(Duration::ZERO, |connection| {
+            Moment::now().since(connection.answered_at)
+        });
+        let sender = previous.map(|connection| connection.sender);
+        let (answer, sender) = timeout(time_limit, self.exchange(sender, path))
             .await
-            .map_err(|_| Failure::Timeout(time_limit))??;
-        *connection = Some(sender);
+            .map_err(|_| Failure::Timeout { time_limit, idle })??;
+        *connection = Some(Connection {
+            sender,
+            answered_at: Moment::now(),
+        });
         Ok(answer)
     }
 
--- a/crates/base/tests/client.rs
+++ b/crates/base/tests/client.rs
@@ -48,7 +48,7 @@
         assert_eq!(client.get("/", TIMEOUT).await.unwrap().body, "ok");
     }
     let error = client.get("/", TIMEOUT).await.unwrap_err();
-    assert!(matches!(error, Failure::Timeout(_)), "{error}");
+    assert!(matches!(error, Failure::Timeout { .. }), "{error}");
     assert_eq!(client.get("/", TIMEOUT).await.unwrap().body, "ok");
 }
 
@@ -63,7 +63,7 @@
     .await;
     let error = client.get("/", TIMEOUT).await.unwrap_err();
     assert!(
-        matches!(error, Failure::Timeout(_) | Failure::Body(_)),
+        matches!(error, Failure::Timeout { .. } | Failure::Body(_)),
         "{error}"
     );
     let error = client.get("/", TIMEOUT).await.unwrap_err();
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -112,6 +112,8 @@
     /// End of the last store outage; `None` before the first one.
     outage_ended_at: Option<Moment>,
     takeover_until: Moment,
+    /// True from the first read of this VM's turn as a reader until another VM reads.
+    is_reading: bool,
     /// Time of the last failed read.
     failed_at: Moment,
     /// Backoff after the last failed read; zero after a successful one.
@@ -134,6 +136,7 @@
             is_first_start: settings.is_first_start,
             outage_ended_at: None,
             takeover_until: Moment::default(),
+            is_reading: false,
             failed_at: Moment::default(),
             backoff: Duration::ZERO,
         }
@@ -187,24 +190,32 @@
         if now < self.failed_at + self.backoff.min(max_backoff(rank)) {
             return false;
         }
-        let catalog = self.catalog.lock().unwrap();
-        if !catalog.is_loaded() {
+        let (is_loaded, age) = {
+            let catalog = self.catalog.lock().unwrap();
+            (catalog.is_loaded(), catalog.age(now))
+        };
+        if !is_loaded {
             let delay = startup_delay(rank, self.is_first_start, has_live_peer);
             return now.since(self.started_at) >= delay;
         }
-        if is_first_reader || now < self.takeover_until {
-            return true;
+        let is_stale = age > TAKEOVER_AGE + TAKEOVER_AGE_PER_RANK * rank.min(RANK_LIMIT);
+        if is_stale && !is_first_reader && now >= self.takeover_until {
+            self.takeover_until = now + TAKEOVER_PERIOD;
         }
-        let is_stale =
-            catalog.age(now) > TAKEOVER_AGE + TAKEOVER_AGE_PER_RANK * rank.min(RANK_LIMIT);
-        if is_stale {
+        let is_reader = is_first_reader || now < self.takeover_until;
+        if is_reader != self.is_reading {
+            self.is_reading = is_reader;
+            let event = if is_reader {
+                "reader_steps_in"
+            } else {
+                "reader_steps_back"
+            };
             info!(
-                "event=reader_steps_in rank={rank} catalog_age_ms={}",
-                catalog.age(now).as_millis()
+                "event={event} rank={rank} is_first_reader={is_first_reader} catalog_age_ms={}",
+                age.as_millis()
             );
-            self.takeover_until = now + TAKEOVER_PERIOD;
         }
-        is_stale
+        is_reader
     }
 
     async fn read(&mut self) -> Result<()> {
