A VM that takes over reading does not wait on a silent connection

Cause: the VM that took over sent its first watch on a connection that had gone silent while it was idle, and waited for the watch and its response, 1.6 s. Step-in, watch and backoff each kept a bound, their sum did not. Evidence: reader_steps_in at +1.45 s, store_read_failed at +3.05 s on a connection idle for 16208 ms, configuration_in_force at +3.16 s. It rules out a late step-in, a long backoff, a slow merge and a store that did not answer. Change: a connection idle for 2 s is replaced. The first watch of a turn, and the one after a first failure, asks for no wait and so fails after 0.6 s. The backoff ends with the turn. The tests of base and reader failed before (no second connection; waits 1000 1000 1000; retry after 614 ms).

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -18,6 +18,10 @@
 /// Maximum length of a body, bytes; enough for several of the largest values that a store holds.
 const MAX_BODY_LEN: usize = 16 << 20;
 
+/// Idle time after which a connection is replaced rather than used again. It may have gone silent
+/// without a reset, and then a request on it only ends at its time limit.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
+
 /// Error of a request without a complete answer. The request may be repeated on a new connection.
 #[derive(Debug)]
 #[derive(Display, Error, From)]
@@ -68,10 +72,18 @@
     answered_at: Moment,
 }
 
+impl Connection {
+    /// Returns the time since the last answer.
+    fn idle(&self) -> Duration {
+        Moment::now().since(self.answered_at)
+    }
+}
+
 /// Client of one server.
 ///
 /// Requests are sent one after the other on one connection. It is closed after any failure, since
-/// a connection on which an answer was lost may never deliver another one.
+/// a connection on which an answer was lost may never deliver another one, and replaced when it has
+/// been idle for two seconds.
 #[derive(Debug)]
 pub struct Client {
     server: String,
@@ -95,10 +107,8 @@
     /// [`Failure`] if there is no complete answer. An answer with an error status is not a failure.
     pub async fn get(&self, path: &str, time_limit: Duration) -> Result<Answer, Failure> {
         let mut connection = self.connection.lock().await;
-        let previous = connection.take();
-        let idle = previous.as_ref().map_or(Duration::ZERO, |connection| {
-            Moment::now().since(connection.answered_at)
-        });
+        let previous = connection.take().filter(|it| it.idle() <= MAX_IDLE_TIME);
+        let idle = previous.as_ref().map_or(Duration::ZERO, Connection::idle);
         let sender = previous.map(|connection| connection.sender);
         let (answer, sender) = timeout(time_limit, self.exchange(sender, path))
             .await
--- a/crates/base/tests/client.rs
+++ b/crates/base/tests/client.rs
@@ -52,6 +52,16 @@
     assert_eq!(client.get("/", TIMEOUT).await.unwrap().body, "ok");
 }
 
+/// Guards against a request that waits for its whole time limit on a connection that went silent
+/// while it was idle.
+#[tokio::test]
+async fn an_idle_connection_is_replaced() {
+    let client = client(vec![vec![ANSWER], vec![ANSWER]]).await;
+    assert_eq!(client.get("/", TIMEOUT).await.unwrap().body, "ok");
+    tokio::time::sleep(Duration::from_millis(2100)).await;
+    assert_eq!(client.get("/", TIMEOUT).await.unwrap().body, "ok");
+}
+
 #[tokio::test]
 async fn a_truncated_or_malformed_answer_is_an_error() {
     let truncated: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok";
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -112,8 +112,12 @@
     /// End of the last store outage; `None` before the first one.
     outage_ended_at: Option<Moment>,
     takeover_until: Moment,
-    /// True from the first read of this VM's turn as a reader until another VM reads.
+    /// True while this VM is a reader, also during the backoff after a failed read.
     is_reading: bool,
+    /// True when the next watch has to return at once: this VM has just become a reader, or its
+    /// last watch got no response. Only the response shows that the connection works, and the
+    /// catalogs are already old.
+    is_response_due: bool,
     /// Time of the last failed read.
     failed_at: Moment,
     /// Backoff after the last failed read; zero after a successful one.
@@ -137,6 +141,7 @@
             outage_ended_at: None,
             takeover_until: Moment::default(),
             is_reading: false,
+            is_response_due: true,
             failed_at: Moment::default(),
             backoff: Duration::ZERO,
         }
@@ -171,6 +176,8 @@
                         age.as_millis()
                     );
                     self.failed_at = Moment::now();
+                    // Further failures are a store outage, in which calls would only add up.
+                    self.is_response_due = self.backoff.is_zero();
                     self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, OVERALL_MAX_BACKOFF);
                 }
             }
@@ -205,6 +212,9 @@
         let is_reader = is_first_reader || now < self.takeover_until;
         if is_reader != self.is_reading {
             self.is_reading = is_reader;
+            // Failures of an earlier turn say nothing about the store now.
+            self.backoff = Duration::ZERO;
+            self.is_response_due = true;
             let event = if is_reader {
                 "reader_steps_in"
             } else {
@@ -224,11 +234,17 @@
             (catalog.revision(), catalog.is_loaded())
         };
         if is_loaded {
+            let wait = if self.is_response_due {
+                Duration::ZERO
+            } else {
+                WATCH_TIMEOUT
+            };
             let sent_at = Moment::now();
             counter!("ragwortbeam_store_reads_total", "kind" => "changes").increment(1);
-            let changes = self.catalog_source.watch(revision, WATCH_TIMEOUT).await?;
+            let changes = self.catalog_source.watch(revision, wait).await?;
+            self.is_response_due = false;
             if let Some(changes) = changes {
-                self.apply(changes, None, sent_at);
+                self.apply(changes, None, sent_at + wait);
                 return Ok(());
             }
             info!("event=store_history_gone revision={revision}");
@@ -242,17 +258,21 @@
             .iter()
             .map(|entry_update| entry_update.endpoint)
             .collect();
-        self.apply(update, Some(present_ids), sent_at);
+        self.apply(update, Some(present_ids), sent_at + WATCH_TIMEOUT);
         Ok(())
     }
 
     /// Applies an update to the catalog and notifies other VMs. `present_ids` lists the endpoints
-    /// of a full read; `None` when the update has only changes.
-    fn apply(&mut self, update: CatalogUpdate, present_ids: Option<Vec<u64>>, sent_at: Moment) {
+    /// of a full read; `None` when the update has only changes. `wait_ends_at` is the time at which
+    /// the wait of the read ended; a later response only proves that its contents were current then.
+    fn apply(
+        &mut self,
+        update: CatalogUpdate,
+        present_ids: Option<Vec<u64>>,
+        wait_ends_at: Moment,
+    ) {
         let now = Moment::now();
-        // A late response only proves that its contents were current when the wait of its watch
-        // ended.
-        let known_at = now.min(sent_at + WATCH_TIMEOUT);
+        let known_at = now.min(wait_ends_at);
         let old_revision = {
             let mut catalog = self.catalog.lock().unwrap();
             let outage_age = if self.backoff > Duration::ZERO {
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -32,12 +32,21 @@
     Hang(Duration),
 }
 
+/// A call of a scripted catalog source.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    called_at: Moment,
+    /// Wait that a watch requests; zero for a full read.
+    wait: Duration,
+}
+
 /// Catalog source that returns scripted responses in order. When none is left, it waits and reports
 /// that nothing changed.
 #[derive(Clone, Default)]
 struct ScriptedSource {
     responses: Arc<Mutex<VecDeque<Response>>>,
     calls: Arc<Mutex<Vec<&'static str>>>,
+    timed_calls: Arc<Mutex<Vec<Call>>>,
 }
 
 impl ScriptedSource {
@@ -45,9 +54,14 @@
         Self {
             responses: Arc::new(Mutex::new(responses.into_iter().collect())),
             calls: Arc::default(),
+            timed_calls: Arc::default(),
         }
     }
 
+    fn push(&self, responses: impl IntoIterator<Item = Response>) {
+        self.responses.lock().unwrap().extend(responses);
+    }
+
     async fn next_response(
         &self,
         revision: u64,
@@ -57,6 +71,10 @@
             context: "script".to_owned(),
             status: 503,
         };
+        self.timed_calls.lock().unwrap().push(Call {
+            called_at: Moment::now(),
+            wait,
+        });
         let response = self.responses.lock().unwrap().pop_front();
         match response {
             Some(Response::Update(update)) => Ok(Some(update)),
@@ -210,6 +228,20 @@
     }
 }
 
+/// Waits until a source has been called `count` times; panics after `limit`.
+async fn wait_for_calls(source: &ScriptedSource, count: usize, limit: Duration) {
+    let started_at = Moment::now();
+    loop {
+        let found = source.timed_calls.lock().unwrap().len();
+        if found >= count {
+            return;
+        }
+        let waited = Moment::now().since(started_at);
+        assert!(waited < limit, "{found} calls after {waited:?}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 fn usable_ids(catalog: &Catalog) -> Vec<u64> {
     let now = Moment::now();
     let mut ids: Vec<u64> = catalog
@@ -380,6 +412,53 @@
     }
 }
 
+/// Guards against a takeover whose first request waits for its whole time limit on a connection that
+/// does not work: a watch without a wait is answered at once or fails soon.
+#[tokio::test]
+async fn the_first_watch_of_a_turn_and_the_one_after_a_failure_return_at_once() {
+    let source = ScriptedSource::of([
+        Response::Update(full_update(10, &[1, 2])),
+        Response::Update(partial_update(11, vec![removed(1, 11)])),
+        Response::Unavailable,
+        Response::Unavailable,
+        Response::Unavailable,
+    ]);
+    let _vm = Vm::start(11, 17711, &[], source.clone()).await;
+    let limit = Duration::from_secs(3);
+    wait_for_calls(&source, 7, limit).await;
+    let waits = source.timed_calls.lock().unwrap()[1..7].to_vec();
+    let waits_ms: Vec<u128> = waits.iter().map(|call| call.wait.as_millis()).collect();
+    assert_eq!(waits_ms, [0, 1000, 0, 1000, 1000, 1000]);
+}
+
+/// Guards against a retry that is delayed by the backoff of an earlier turn as a reader.
+#[tokio::test]
+async fn the_backoff_of_an_earlier_turn_does_not_delay_a_retry() {
+    let unavailable = |count| (0..count).map(|_| Response::Unavailable);
+    let reading_source = ScriptedSource::of([Response::Update(full_update(10, &[1, 2]))]);
+    let first = Vm::start_in(DC_A, 12, 17712, &[], reading_source.clone()).await;
+    first
+        .wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
+        .await;
+    let source = ScriptedSource::of(unavailable(1000));
+    let second = Vm::start_in(DC_B, 13, 17712, &[12], source.clone()).await;
+    second
+        .wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
+        .await;
+    // An outage in which the second VM takes over too, until its turn of 4 s ends.
+    reading_source.push(unavailable(8));
+    sleep(Duration::from_millis(7000)).await;
+    let calls_before = source.timed_calls.lock().unwrap().len();
+    assert!(calls_before > 3, "{calls_before} calls in the first turn");
+    source.responses.lock().unwrap().clear();
+    source.push(unavailable(1));
+    reading_source.push([Response::Hang(Duration::from_secs(60))]);
+    wait_for_calls(&source, calls_before + 2, Duration::from_secs(4)).await;
+    let calls = source.timed_calls.lock().unwrap()[calls_before..].to_vec();
+    let delay = calls[1].called_at.since(calls[0].called_at);
+    assert!(delay < Duration::from_millis(400), "retry after {delay:?}");
+}
+
 #[test]
 fn the_request_rate_of_a_data_centre_without_the_store_is_bounded() {
     let requests_per_s = |vms: u32| -> f64 {
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -38,6 +38,7 @@
     Relay(Relay),
     Soak(Soak),
     Rotation(Rotation),
+    Takeover(Takeover),
 }
 
 /// Run a small data centre under load for about 20 s while VMs and servers change.
@@ -168,6 +169,16 @@
     seed: u64,
 }
 
+/// Take the reader of the store away in several ways, with silent connections, and check when a
+/// change of the configuration is in force, for about 60 s.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "takeover")]
+struct Takeover {
+    /// seed of the addresses and the configuration
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
         Some("node") => return run_product("serve"),
@@ -199,12 +210,10 @@
         }
         Command::Rotation(rotation) => runtime
             .block_on(soak::run_rotation_drill(rotation.seed))
-            .map(|deviations| {
-                for deviation in &deviations {
-                    println!("deviation: {deviation}");
-                }
-                deviations.is_empty()
-            }),
+            .map(|deviations| report_deviations(&deviations)),
+        Command::Takeover(takeover) => runtime
+            .block_on(soak::run_takeover_drill(takeover.seed))
+            .map(|deviations| report_deviations(&deviations)),
         Command::Relay(relay) => runtime.block_on(throughput::relay(relay.target)),
         Command::Faults(faults) => runtime.block_on(faults::run(&faults::Options {
             seeds: faults.seeds,
@@ -223,6 +232,14 @@
     }
 }
 
+/// Prints the deviations of a drill; returns whether there are none.
+fn report_deviations(deviations: &[String]) -> bool {
+    for deviation in deviations {
+        println!("deviation: {deviation}");
+    }
+    deviations.is_empty()
+}
+
 /// Simulates the given number of scenarios that differ in their seeds, and prints the results.
 /// Always returns true, as no result counts as a failure.
 fn run_ceiling(options: &Ceiling) -> bool {
--- a/crates/testbed/src/soak/faults.rs
+++ b/crates/testbed/src/soak/faults.rs
@@ -319,7 +319,9 @@
     rng: &mut StdRng,
 ) -> std::io::Result<()> {
     match change {
-        Change::WriteConfiguration => write_random_configuration(cluster, rng),
+        Change::WriteConfiguration => {
+            write_random_configuration(cluster, rng);
+        }
         Change::DrainEndpoint => {
             let serving = cluster.endpoints.serving();
             let drainable = serving.iter().filter(|endpoint| {
@@ -359,8 +361,8 @@
 }
 
 /// Writes the next configuration, in which the changing route leads to either service or is
-/// absent.
-pub(crate) fn write_random_configuration(cluster: &Cluster, rng: &mut StdRng) {
+/// absent; returns its version.
+pub(crate) fn write_random_configuration(cluster: &Cluster, rng: &mut StdRng) -> u64 {
     let mut routes = Routes::from([
         (LEDGER_IDEMPOTENT_ROUTE, "ledger".to_owned()),
         (LEDGER_NON_IDEMPOTENT_ROUTE, "ledger".to_owned()),
@@ -373,4 +375,5 @@
     }
     let version = cluster.checker.configuration_count() as u64 * 3 + 1;
     cluster.store.write_configuration(version, &routes);
+    version
 }
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod proxy;
 mod rotation;
 mod store;
+mod takeover;
 mod vms;
 
 use std::io::ErrorKind;
@@ -28,6 +29,7 @@
 pub use guarantees::{GuaranteeChecker, Routes};
 pub use rotation::run_rotation_drill;
 pub use store::Store;
+pub use takeover::run_takeover_drill;
 
 /// Time without faults at the end of a run, within which service has to recover.
 const FINAL_RECOVERY_TIME: Duration = Duration::from_secs(5);
--- a/crates/testbed/src/soak/proxy.rs
+++ b/crates/testbed/src/soak/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,18 +28,33 @@
     Delay,
 }
 
-/// Fault that one VM's proxy injects at present; [`ProxyFault::None`] by default.
+/// Faults that one VM's proxy injects at present; none by default.
 #[derive(Debug, Default)]
-pub struct ProxySwitch(AtomicU8);
+pub struct ProxySwitch {
+    /// The [`ProxyFault`] of all connections.
+    fault: AtomicU8,
+    /// Number of times that the open connections were silenced.
+    silence_count: AtomicU32,
+}
 
 impl ProxySwitch {
     /// Sets the fault for open and new connections.
     pub fn set(&self, fault: ProxyFault) {
-        self.0.store(fault as u8, Ordering::Relaxed);
+        self.fault.store(fault as u8, Ordering::Relaxed);
+    }
+
+    /// Makes the open connections silent for good: they stay open, and their data is dropped. New
+    /// connections are not affected.
+    pub fn silence_open_connections(&self) {
+        self.silence_count.fetch_add(1, Ordering::Relaxed);
     }
 
     fn is_set(&self, fault: ProxyFault) -> bool {
-        self.0.load(Ordering::Relaxed) == fault as u8
+        self.fault.load(Ordering::Relaxed) == fault as u8
+    }
+
+    fn silence_count(&self) -> u32 {
+        self.silence_count.load(Ordering::Relaxed)
     }
 }
 
@@ -75,6 +90,7 @@
     is_response: bool,
 ) {
     let mut buffer = [0; 4096];
+    let silence_count = fault_switch.silence_count();
     loop {
         let Ok(len @ 1..) = reader.read(&mut buffer).await else {
             return;
@@ -85,7 +101,8 @@
         if fault_switch.is_set(ProxyFault::Delay) {
             sleep(Duration::from_millis(250)).await;
         }
-        let is_lost = fault_switch.is_set(ProxyFault::DropAll)
+        let is_lost = fault_switch.silence_count() != silence_count
+            || fault_switch.is_set(ProxyFault::DropAll)
             || (is_response && fault_switch.is_set(ProxyFault::DropResponses));
         if !is_lost && writer.write_all(&buffer[..len]).await.is_err() {
             return;
