A catalog is as old as the start of its full read

Cause: a full read has the revision of its first page, but the catalog counted as current until 1 s after the read began. With slow pages it seemed up to 1 s younger than it was, and the VMs behind it stepped in that much later. Change: its age counts from the start of the read. Conclusion: the age never understates; a normal read takes some milliseconds.

--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -258,7 +258,8 @@
             .iter()
             .map(|entry_update| entry_update.endpoint)
             .collect();
-        self.apply(update, Some(present_ids), sent_at + WATCH_TIMEOUT);
+        // Its revision is that of the first page, which may have come at any time since.
+        self.apply(update, Some(present_ids), sent_at);
         Ok(())
     }
 
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -30,6 +30,8 @@
     Unavailable,
     /// No response for this long, then an error status.
     Hang(Duration),
+    /// A full read or changes after this time.
+    Late(Duration, CatalogUpdate),
 }
 
 /// A call of a scripted catalog source.
@@ -80,6 +82,10 @@
             Some(Response::Update(update)) => Ok(Some(update)),
             Some(Response::HistoryGone) => Ok(None),
             Some(Response::Unavailable) => Err(unavailable()),
+            Some(Response::Late(time, update)) => {
+                sleep(time).await;
+                Ok(Some(update))
+            }
             Some(Response::Hang(time)) => {
                 sleep(time).await;
                 Err(unavailable())
@@ -459,6 +465,22 @@
     assert!(delay < Duration::from_millis(400), "retry after {delay:?}");
 }
 
+/// Guards against a catalog that seems younger than it is: changes made while the pages of a full
+/// read are transferred are not in it.
+#[tokio::test]
+async fn a_catalog_is_as_old_as_the_start_of_its_full_read() {
+    let time = Duration::from_millis(900);
+    let source = ScriptedSource::of([
+        Response::Late(time, full_update(10, &[1, 2])),
+        Response::Hang(Duration::from_secs(60)),
+    ]);
+    let vm = Vm::start(14, 17714, &[], source).await;
+    let limit = Duration::from_secs(3);
+    vm.wait_until(limit, "loaded", Catalog::is_loaded).await;
+    let age = vm.catalog.lock().unwrap().age(Moment::now());
+    assert!(age >= time, "{age:?}");
+}
+
 #[test]
 fn the_request_rate_of_a_data_centre_without_the_store_is_bounded() {
     let requests_per_s = |vms: u32| -> f64 {
