A pull without a response does not block one from another neighbour

Cause: one pull at a time. A neighbour that announced a later revision and then went silent held up all pulls for 0.9 s, which no sum of the waits had. Change: after 0.2 s another neighbour is asked as well, two at most. Conclusion: a silent neighbour costs 0.2 s.

--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -1,7 +1,6 @@
 //! Datagrams between VMs: heartbeats, load digests and catalog changes.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::AtomicBool;
 
 use metrics::counter;
 use prost::Message;
@@ -9,6 +8,7 @@
 use tokio::net::UdpSocket;
 
 use super::heartbeat::{HUBS_PER_VM, HeartbeatOptions, HeartbeatPacing};
+use super::pull::Pulls;
 use super::rotation::Rotation;
 use super::{LoadAggregate, MembershipTable};
 use crate::load::{EndpointLoads, Loads};
@@ -41,7 +41,7 @@
     pub(super) last_full_report: Mutex<Loads>,
     pub(super) pacing: Mutex<HeartbeatPacing>,
     pub(super) rotation: Mutex<Rotation>,
-    pub(super) is_pulling: AtomicBool,
+    pub(super) pulls: Mutex<Pulls>,
 }
 
 impl PeerLink {
@@ -65,7 +65,7 @@
             last_full_report: Mutex::default(),
             pacing: Mutex::default(),
             rotation: Mutex::default(),
-            is_pulling: AtomicBool::new(false),
+            pulls: Mutex::default(),
         }
     }
 
@@ -240,7 +240,7 @@
         if current_revision > previous_revision {
             self.push_changes(previous_revision);
         } else if view.revision > current_revision {
-            self.start_pull(ip);
+            self.start_pull(ip, now);
         }
     }
 }
--- a/crates/steering/src/mesh/pull.rs
+++ b/crates/steering/src/mesh/pull.rs
@@ -1,7 +1,6 @@
 //! Pulls of a peer's catalog over HTTP, for changes that no datagram delivered.
 
 use std::net::Ipv4Addr;
-use std::sync::atomic::Ordering;
 
 use prost::Message;
 use ragwortbeam_base::http;
@@ -15,14 +14,31 @@
 /// Timeout of a catalog request to a peer.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Delay after a failed pull before another one may start.
+/// Delay after a failed pull before the same peer is asked again.
 const PULL_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Age of a pull from which it does not keep another peer from being asked.
+const HEDGE_DELAY: Duration = Duration::from_millis(200);
+
+/// Maximum number of pulls at the same time.
+const MAX_PULLS: usize = 2;
+
+/// Pulls in progress: the peer, and the time at which its pull began.
+pub(super) type Pulls = Vec<(Ipv4Addr, Moment)>;
+
 impl PeerLink {
-    /// Starts a pull from a peer in the background, unless one is already running.
-    pub(super) fn start_pull(self: &Arc<Self>, ip: Ipv4Addr) {
-        if self.is_pulling.swap(true, Ordering::AcqRel) {
-            return;
+    /// Starts a pull from a peer in the background, unless one from that peer is running, another
+    /// one has begun less than [`HEDGE_DELAY`] ago, or there are [`MAX_PULLS`].
+    pub(super) fn start_pull(self: &Arc<Self>, ip: Ipv4Addr, now: Moment) {
+        {
+            let mut pulls = self.pulls.lock().unwrap();
+            let blocks = |(peer, started_at): &(Ipv4Addr, Moment)| {
+                *peer == ip || now.since(*started_at) < HEDGE_DELAY
+            };
+            if pulls.len() >= MAX_PULLS || pulls.iter().any(blocks) {
+                return;
+            }
+            pulls.push((ip, now));
         }
         let link = self.clone();
         tokio::spawn(async move {
@@ -30,7 +46,7 @@
                 warn!("event=catalog_pull_failed from={ip} error=\"{error}\"");
                 sleep(PULL_RETRY_DELAY).await;
             }
-            link.is_pulling.store(false, Ordering::Release);
+            link.pulls.lock().unwrap().retain(|(peer, _)| *peer != ip);
         });
     }
 }
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use common::{DC_A, DC_B, configuration, entry, ledger, removed, route, written};
+use prost::Message;
 use ragwortbeam_base::clock::Moment;
 use ragwortbeam_steering::catalog::{Catalog, Traffic};
 use ragwortbeam_steering::catalog_source::{CatalogSource, CatalogUpdate, SourceFuture};
@@ -15,6 +16,7 @@
 use ragwortbeam_steering::http_server::{self, HandlerState};
 use ragwortbeam_steering::load::EndpointLoads;
 use ragwortbeam_steering::mesh::{self, MembershipTable, PeerLink};
+use ragwortbeam_steering::message::{Frame, Member, View};
 use ragwortbeam_steering::reader::{Reader, max_backoff, startup_delay};
 use ragwortbeam_steering::settings::Settings;
 use tokio::net::{TcpListener, UdpSocket};
@@ -481,6 +483,51 @@
     assert!(age >= time, "{age:?}");
 }
 
+/// Guards against a VM that follows nobody while it waits for a neighbour that does not respond.
+#[tokio::test]
+async fn a_pull_without_a_response_does_not_block_one_from_another_vm() {
+    let reading_source = ScriptedSource::of([Response::Update(full_update(10, &[1, 2]))]);
+    let first = Vm::start(15, 17715, &[], reading_source.clone()).await;
+    first
+        .wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
+        .await;
+    let failing = ScriptedSource::of((0..1000).map(|_| Response::Unavailable));
+    let second = Vm::start(16, 17715, &[15], failing).await;
+    second
+        .wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
+        .await;
+    // A neighbour announces a later revision and accepts connections, but answers nothing.
+    let silent_address = SocketAddrV4::new(loopback_ip(17), 17715);
+    let _listener = TcpListener::bind(silent_address).await.unwrap();
+    let socket = UdpSocket::bind(silent_address).await.unwrap();
+    let announcement = Frame {
+        sender: Some(Member {
+            ip: loopback_ip(17).into(),
+            data_centre: DC_A.to_owned(),
+            ..Member::default()
+        }),
+        view: Some(View {
+            revision: 1000,
+            age_ms: 0,
+        }),
+        ..Frame::default()
+    };
+    let receiver = SocketAddrV4::new(loopback_ip(16), 17715);
+    socket
+        .send_to(&announcement.encode_to_vec(), receiver)
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(50)).await;
+    // Too many changes for a datagram, so that they have to be pulled.
+    let ids: Vec<u64> = (1..=100).collect();
+    reading_source.push([Response::Update(full_update(200, &ids))]);
+    second
+        .wait_until(Duration::from_millis(600), "at revision 200", |it| {
+            it.revision() == 200
+        })
+        .await;
+}
+
 #[test]
 fn the_request_rate_of_a_data_centre_without_the_store_is_bounded() {
     let requests_per_s = |vms: u32| -> f64 {
