A call between VMs of serve does not reuse a channel that gave no response

Cause: a channel was kept after a call that ended at its time limit. On a connection that has gone silent each further call to that VM ends so, until the kernel gives the connection up. Change: the channel is dropped after such a call, and the next one connects. One log line each. Conclusion: one call is lost, not all.

--- a/crates/ragwortbeam/src/peer/links.rs
+++ b/crates/ragwortbeam/src/peer/links.rs
@@ -4,8 +4,9 @@
 use std::net::IpAddr;
 use std::sync::Mutex;
 
+use spdlog::info;
 use tonic::transport::{Channel, Endpoint};
-use tonic::{Request, Response, Status};
+use tonic::{Code, Request, Response, Status};
 
 use super::proof;
 use crate::membership;
@@ -53,12 +54,9 @@
     ///
     /// [`Error::Peer`] if the call fails; the VM may have recorded the exchange nevertheless.
     pub async fn reserve(&self, vm: id::Vm, reservation: Reservation) -> Result<ReservationAnswer> {
-        let mut client = self.client(vm)?;
-        into_message(
-            client
-                .reserve(self.request(reservation, RESERVE_TIMEOUT))
-                .await,
-        )
+        let (address, mut client) = self.client(vm)?;
+        let request = self.request(reservation, RESERVE_TIMEOUT);
+        self.finish(address, client.reserve(request).await)
     }
 
     /// Stores copies of flow records at a replica.
@@ -67,8 +65,9 @@
     ///
     /// [`Error::Peer`] if the call fails; it may be repeated, since it is idempotent.
     pub async fn replicate(&self, vm: id::Vm, records: Records) -> Result<RecordsAnswer> {
-        let mut client = self.client(vm)?;
-        into_message(client.replicate(self.request(records, CALL_TIMEOUT)).await)
+        let (address, mut client) = self.client(vm)?;
+        let request = self.request(records, CALL_TIMEOUT);
+        self.finish(address, client.replicate(request).await)
     }
 
     /// Moves flow records to their new owner.
@@ -77,8 +76,9 @@
     ///
     /// [`Error::Peer`] if the call fails; the new owner may serve the flows already.
     pub async fn hand_over(&self, vm: id::Vm, records: Records) -> Result<RecordsAnswer> {
-        let mut client = self.client(vm)?;
-        into_message(client.handover(self.request(records, CALL_TIMEOUT)).await)
+        let (address, mut client) = self.client(vm)?;
+        let request = self.request(records, CALL_TIMEOUT);
+        self.finish(address, client.handover(request).await)
     }
 
     /// Requests the releases and the VM list that this VM lacks from another VM.
@@ -87,8 +87,9 @@
     ///
     /// [`Error::Peer`] if the call fails; another VM may be tried.
     pub async fn releases(&self, vm: id::Vm, query: ReleaseQuery) -> Result<ReleaseAnswer> {
-        let mut client = self.client(vm)?;
-        into_message(client.releases(self.request(query, CALL_TIMEOUT)).await)
+        let (address, mut client) = self.client(vm)?;
+        let request = self.request(query, CALL_TIMEOUT);
+        self.finish(address, client.releases(request).await)
     }
 
     /// Requests releases and the VM list from the VM at an address, for use before the VM list is
@@ -103,7 +104,8 @@
         query: ReleaseQuery,
     ) -> Result<ReleaseAnswer> {
         let mut client = PeerClient::new(self.channel(address)?);
-        into_message(client.releases(self.request(query, CALL_TIMEOUT)).await)
+        let request = self.request(query, CALL_TIMEOUT);
+        self.finish(address, client.releases(request).await)
     }
 
     /// Offers releases to a VM.
@@ -113,17 +115,18 @@
     /// [`Error::Peer`] if the call fails; the VM will request the releases when it sees the newer
     /// number in a probe.
     pub async fn offer(&self, vm: id::Vm, offer: ReleaseAnswer) -> Result<ReleaseOfferAnswer> {
-        let mut client = self.client(vm)?;
-        into_message(client.offer(self.request(offer, CALL_TIMEOUT)).await)
+        let (address, mut client) = self.client(vm)?;
+        let request = self.request(offer, CALL_TIMEOUT);
+        self.finish(address, client.offer(request).await)
     }
 
-    fn client(&self, vm: id::Vm) -> Result<PeerClient<Channel>> {
+    fn client(&self, vm: id::Vm) -> Result<(SocketAddr, PeerClient<Channel>)> {
         let view = self.members.view();
         let member = view.members.get(&vm);
         let address = member
             .ok_or_else(|| Error::peer(format!("{vm} is not in the VM list")))?
             .address;
-        self.channel(address).map(PeerClient::new)
+        Ok((address, PeerClient::new(self.channel(address)?)))
     }
 
     fn channel(&self, address: SocketAddr) -> Result<Channel> {
@@ -141,6 +144,22 @@
         Ok(channel)
     }
 
+    /// Returns the message of a call's response. After a call without a response the channel is
+    /// dropped, so that the next call opens a connection: this one may have gone silent.
+    fn finish<T>(
+        &self,
+        address: SocketAddr,
+        result: std::result::Result<Response<T>, Status>,
+    ) -> Result<T> {
+        if let Err(status) = &result
+            && matches!(status.code(), Code::Cancelled | Code::DeadlineExceeded)
+            && self.channels.lock().unwrap().remove(&address).is_some()
+        {
+            info!("event=peer_channel_dropped to={address} error=\"{status}\"");
+        }
+        result.map(Response::into_inner).map_err(Error::peer)
+    }
+
     fn request<T>(&self, message: T, timeout: Duration) -> Request<T> {
         let mut request = Request::new(message);
         request.set_timeout(timeout);
@@ -148,7 +167,3 @@
         request
     }
 }
-
-fn into_message<T>(result: std::result::Result<Response<T>, Status>) -> Result<T> {
-    result.map(Response::into_inner).map_err(Error::peer)
-}
