One odd item, route or entry does not affect the others

Cause: items and routes were decoded as parts of one document, so one that cannot be decoded made the whole response invalid on each read. Values were checked for type, not for range. A readable entry replaced what was known, whoever wrote it. Change: items and routes are decoded one by one. Entry::check bounds names, address, capacity and warm-up, also in merges. Catalog::doubt keeps the state of an endpoint against an entry without a start time where entries have one, or one that moves it from a service with a route to one without; the endpoint gets no new flows until it is written again. Log lines have excerpts and a limit. Durations saturate. Conclusion: the others hold, and the odd entry's own endpoint keeps its open flows.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -49,14 +49,18 @@
 
     /// Returns the point in time `span` before this one, but not before the clock's origin.
     pub fn before(self, span: Duration) -> Self {
-        Self(self.0.saturating_sub(span.as_micros() as u64))
+        Self(self.0.saturating_sub(saturating_micros(span)))
     }
 }
 
+fn saturating_micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Add<Duration> for Moment {
     type Output = Self;
 
     fn add(self, span: Duration) -> Self {
-        Self(self.0.saturating_add(span.as_micros() as u64))
+        Self(self.0.saturating_add(saturating_micros(span)))
     }
 }
--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -59,6 +59,24 @@
     spdlog::default_logger().flush();
 }
 
+/// Longest excerpt of a text from outside the process in a log line, characters.
+const MAX_EXCERPT_CHARS: usize = 160;
+
+/// Returns the beginning of a text that may have content from outside the process, for a quoted
+/// value of a log line: it neither ends the line nor makes it long.
+pub fn excerpt(text: &impl ToString) -> String {
+    let text = text.to_string();
+    let mut excerpt: String = text
+        .chars()
+        .take(MAX_EXCERPT_CHARS)
+        .flat_map(char::escape_debug)
+        .collect();
+    if text.chars().nth(MAX_EXCERPT_CHARS).is_some() {
+        excerpt.push_str("...");
+    }
+    excerpt
+}
+
 /// Limits the number of lines that one kind of event may write in a second.
 #[derive(Debug)]
 pub struct RateLimiter {
--- a/crates/steering/src/catalog/configuration.rs
+++ b/crates/steering/src/catalog/configuration.rs
@@ -71,3 +71,11 @@
     /// Routes by destination address.
     pub routes: HashMap<SocketAddrV4, Route>,
 }
+
+impl Configuration {
+    /// Returns whether a route sends flows to a service.
+    pub fn has_service(&self, name: &str) -> bool {
+        let mut targets = self.routes.values().flat_map(|route| &route.targets);
+        targets.any(|target| *target.service == *name)
+    }
+}
--- a/crates/steering/src/catalog/endpoint.rs
+++ b/crates/steering/src/catalog/endpoint.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::{Display, Error};
 use ragwortbeam_base::clock::Moment;
 use slotmap::new_key_type;
 
@@ -13,12 +14,22 @@
 /// removed endpoint must not be used.
 const LAPSE_WINDOW: Duration = Duration::from_millis(1200);
 
+/// Longest name of a service or data centre, bytes.
+const MAX_NAME_LEN: usize = 200;
+
+/// Most requests that an endpoint can claim to process concurrently. Load is divided by this number,
+/// so that an endpoint with a larger one would get nearly all new flows.
+const MAX_SLOTS: u32 = 1 << 16;
+
+/// Longest warm-up that an endpoint can claim.
+const MAX_WARMUP: Duration = Duration::from_secs(3600);
+
 new_key_type! {
     /// Key of an endpoint instance in a [`super::Catalog`]; a restart makes a new instance.
     pub struct EndpointKey;
 }
 
-/// An endpoint's entry in the store.
+/// An endpoint's entry in the store. In a catalog its values pass [`Entry::check`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
     /// Name of the service that the endpoint belongs to.
@@ -27,16 +38,65 @@
     pub address: SocketAddrV4,
     /// Data centre of the endpoint.
     pub data_centre: Arc<str>,
-    /// Requests that the endpoint processes concurrently; at least 1.
+    /// Requests that the endpoint processes concurrently.
     pub slots: u32,
     /// True when the endpoint accepts no new flows.
     pub is_draining: bool,
     /// Remaining warm-up time after the start, in which the endpoint responds slowly.
     pub warmup_left: Duration,
-    /// Start time of the endpoint, milliseconds since the Unix epoch.
+    /// Start time of the endpoint, milliseconds since the Unix epoch; 0 when the entry has none.
     pub born_ms: u64,
 }
 
+/// Reason why an entry names no endpoint that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum EntryError {
+    /// The name of the service or of the data centre is empty, too long, or has white space or
+    /// control characters.
+    #[display("expected a name of 1 to {MAX_NAME_LEN} bytes without white space")]
+    Name,
+    /// No packet can be sent to the address.
+    #[display("expected the address of one host and a port from 1 to 65535")]
+    Address,
+    /// The number of concurrent requests is out of range.
+    #[display("expected a capacity from 1 to {MAX_SLOTS}")]
+    Slots,
+    /// The warm-up is too long.
+    #[display("expected a warm-up of at most {} s", MAX_WARMUP.as_secs())]
+    Warmup,
+}
+
+impl Entry {
+    /// Checks the values of an entry that another process wrote.
+    ///
+    /// # Errors
+    ///
+    /// [`EntryError`] for the first value that cannot be used.
+    pub fn check(&self) -> Result<(), EntryError> {
+        if !is_name(&self.service) || !is_name(&self.data_centre) {
+            return Err(EntryError::Name);
+        }
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_broadcast() || ip.is_multicast()
+        {
+            return Err(EntryError::Address);
+        }
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            return Err(EntryError::Slots);
+        }
+        if self.warmup_left > MAX_WARMUP {
+            return Err(EntryError::Warmup);
+        }
+        Ok(())
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let is_part = |it: char| !it.is_whitespace() && !it.is_control();
+    (1..=MAX_NAME_LEN).contains(&text.len()) && text.chars().all(is_part)
+}
+
 /// An update of an endpoint's entry, read from the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryUpdate {
--- a/crates/steering/src/catalog/mod.rs
+++ b/crates/steering/src/catalog/mod.rs
@@ -7,6 +7,7 @@
 mod wire;
 
 pub use configuration::{Configuration, Route, Target, Traffic};
-pub use endpoint::{Change, Endpoint, EndpointKey, Entry, EntryUpdate, Removal};
+pub use endpoint::{Change, Endpoint, EndpointKey, Entry, EntryError, EntryUpdate, Removal};
 pub use store::{Catalog, MergeSummary};
 pub use token::{address_mask, tag};
+pub use wire::saturating_ms;
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -39,6 +39,8 @@
     /// Highest revision of a dropped endpoint; 0 for none. The changes after a lower revision are
     /// no longer complete here.
     dropped_revision: u64,
+    /// True once an entry had a start time, from which on those without one are doubted.
+    has_start_times: bool,
 }
 
 impl Catalog {
@@ -160,7 +162,11 @@
         if update.revision <= current_revision {
             return false;
         }
-        match (update.change, current) {
+        let change = match update.change {
+            Change::Written(entry) => self.doubt(update.endpoint, entry, update.revision),
+            change => change,
+        };
+        match (change, current) {
             (Change::Written(entry), _) => {
                 self.put_entry(update.endpoint, entry, update.revision, None, now);
             }
@@ -191,8 +197,18 @@
         if current.is_some_and(|key| endpoint.revision <= self.endpoints[key].revision) {
             return false;
         }
-        let (entry, revision, removal) = (endpoint.entry, endpoint.revision, endpoint.removal);
-        self.put_entry(endpoint.id, entry, revision, removal, now);
+        let (id, revision) = (endpoint.id, endpoint.revision);
+        match self.doubt(id, endpoint.entry, revision) {
+            Change::Written(entry) => self.put_entry(id, entry, revision, endpoint.removal, now),
+            change => {
+                let update = EntryUpdate {
+                    endpoint: id,
+                    revision,
+                    change,
+                };
+                return self.apply_update(update, now, Duration::ZERO);
+            }
+        }
         true
     }
 
@@ -249,6 +265,31 @@
         dropped
     }
 
+    /// Returns the change that a readable entry makes: [`Change::Unreadable`] when it contradicts
+    /// what is known, so that another process probably wrote it.
+    ///
+    /// That is the case for an entry without a start time where entries have one, and for one that
+    /// moves a running endpoint from a service with a route to one without.
+    fn doubt(&self, id: u64, entry: Entry, revision: u64) -> Change {
+        let current = self.by_id.get(&id).map(|key| &self.endpoints[*key].entry);
+        let lacks_start_time = entry.born_ms == 0 && self.has_start_times;
+        let leaves_its_service = current.is_some_and(|current| {
+            current.service != entry.service
+                && self.configuration.has_service(&current.service)
+                && !self.configuration.has_service(&entry.service)
+        });
+        let reason = match (lacks_start_time, leaves_its_service) {
+            (true, _) => "no_start_time",
+            (false, true) => "service_without_route",
+            (false, false) => return Change::Written(entry),
+        };
+        info!(
+            "event=entry_doubted reason={reason} endpoint={id:x} service={} address={} revision={revision}",
+            entry.service, entry.address,
+        );
+        Change::Unreadable
+    }
+
     /// Records an entry as that of the endpoint's newest instance, which is the known one with the
     /// entry's start time or a new one. Another instance that was the newest is replaced.
     fn put_entry(
@@ -259,6 +300,7 @@
         removal: Option<Removal>,
         now: Moment,
     ) {
+        self.has_start_times |= entry.born_ms != 0;
         let known = self.instance(id, entry.born_ms);
         if let Some(previous) = self.by_id.get(&id)
             && known != Some(*previous)
--- a/crates/steering/src/catalog/wire.rs
+++ b/crates/steering/src/catalog/wire.rs
@@ -5,8 +5,11 @@
 
 use ragwortbeam_base::clock::Moment;
 
+use spdlog::warn;
+
 use super::{
-    Catalog, Configuration, Endpoint, Entry, MergeSummary, Removal, Route, Target, Traffic, tag,
+    Catalog, Change, Configuration, Endpoint, Entry, EntryError, EntryUpdate, MergeSummary,
+    Removal, Route, Target, Traffic, tag,
 };
 use crate::message;
 
@@ -38,7 +41,8 @@
         }
     }
 
-    /// Merges a message of another VM; routes without a service are ignored.
+    /// Merges a message of another VM. Routes that cannot be used are ignored, and endpoints that
+    /// cannot be used get no new flows.
     pub fn merge(&mut self, catalog: &message::Catalog, now: Moment) -> MergeSummary {
         let mut summary = MergeSummary::default();
         if let Some(configuration) = &catalog.configuration {
@@ -46,14 +50,25 @@
                 self.apply_configuration(configuration_from_message(configuration));
         }
         // Instances of an endpoint are merged from the oldest to the newest.
-        let mut endpoints: Vec<Endpoint> = catalog
-            .endpoints
-            .iter()
-            .map(|endpoint| endpoint_from_message(endpoint, now))
-            .collect();
+        let mut endpoints: Vec<&message::Endpoint> = catalog.endpoints.iter().collect();
         endpoints.sort_by_key(|endpoint| endpoint.revision);
-        for endpoint in endpoints {
-            summary.endpoints += usize::from(self.merge_endpoint(endpoint, now));
+        for message in endpoints {
+            let is_changed = match endpoint_from_message(message, now) {
+                Ok(endpoint) => self.merge_endpoint(endpoint, now),
+                Err(error) => {
+                    warn!(
+                        "event=peer_entry_unreadable endpoint={:x} revision={} error=\"{error}\"",
+                        message.id, message.revision
+                    );
+                    let update = EntryUpdate {
+                        endpoint: message.id,
+                        revision: message.revision,
+                        change: Change::Unreadable,
+                    };
+                    self.apply_update(update, now, Duration::ZERO)
+                }
+            };
+            summary.endpoints += usize::from(is_changed);
         }
         summary
     }
@@ -135,7 +150,7 @@
     }
     Some(Route {
         name: message.name.clone(),
-        address: address(message.ip, message.port),
+        address: address(message.ip, message.port)?,
         traffic: match message.traffic() {
             message::Traffic::Idempotent => Traffic::Idempotent,
             message::Traffic::NonIdempotent => Traffic::NonIdempotent,
@@ -145,19 +160,25 @@
     })
 }
 
-fn endpoint_from_message(message: &message::Endpoint, now: Moment) -> Endpoint {
+fn endpoint_from_message(message: &message::Endpoint, now: Moment) -> Result<Endpoint, EntryError> {
     let warmup_left = Duration::from_millis(message.warmup_left_ms.into());
-    Endpoint {
+    let entry = Entry {
+        service: message.service.as_str().into(),
+        address: address(message.ip, message.port).ok_or(EntryError::Address)?,
+        data_centre: message.data_centre.as_str().into(),
+        slots: message.slots,
+        is_draining: message.is_draining,
+        warmup_left,
+        born_ms: message.born_ms,
+    };
+    entry.check()?;
+    // 0 would address any endpoint.
+    if message.id == 0 {
+        return Err(EntryError::Address);
+    }
+    Ok(Endpoint {
         id: message.id,
-        entry: Entry {
-            service: message.service.as_str().into(),
-            address: address(message.ip, message.port),
-            data_centre: message.data_centre.as_str().into(),
-            slots: message.slots.max(1),
-            is_draining: message.is_draining,
-            warmup_left,
-            born_ms: message.born_ms,
-        },
+        entry,
         revision: message.revision,
         tag: tag(message.id, message.born_ms),
         warmup_ends_at: now + warmup_left,
@@ -165,9 +186,10 @@
             observed_at: now.before(Duration::from_millis(removal.age_ms.into())),
             hold: Duration::from_millis(removal.hold_ms.into()),
         }),
-    }
+    })
 }
 
-fn address(ip: u32, port: u32) -> SocketAddrV4 {
-    SocketAddrV4::new(ip.into(), port as u16)
+/// Returns an address; `None` when the port is out of range.
+fn address(ip: u32, port: u32) -> Option<SocketAddrV4> {
+    Some(SocketAddrV4::new(ip.into(), u16::try_from(port).ok()?))
 }
--- a/crates/steering/tests/catalog.rs
+++ b/crates/steering/tests/catalog.rs
@@ -6,8 +6,9 @@
 
 use common::{DC_A, at, configuration, entry, ledger, removed, route, vault, written};
 use ragwortbeam_steering::catalog::{
-    Catalog, Change, EntryUpdate, MergeSummary, Traffic, address_mask, tag,
+    Catalog, Change, Entry, EntryUpdate, MergeSummary, Traffic, address_mask, tag,
 };
+use ragwortbeam_steering::message;
 
 const HOLD: Duration = Duration::from_millis(2200);
 
@@ -166,6 +167,197 @@
     }
 }
 
+/// Guards against an entry of another writer that replaces a running endpoint: its open flows were
+/// reset, or their packets sent elsewhere.
+#[test]
+fn a_doubtful_entry_stops_new_flows_until_the_endpoint_writes_again() {
+    struct Case {
+        name: &'static str,
+        odd: Entry,
+    }
+    let good = || entry("ledger", 1, DC_A);
+    let cases = [
+        Case {
+            name: "no start time",
+            odd: Entry {
+                born_ms: 0,
+                ..good()
+            },
+        },
+        Case {
+            name: "a service without a route",
+            odd: Entry {
+                service: "nowhere".into(),
+                ..entry("ledger", 7, DC_A)
+            },
+        },
+        Case {
+            name: "a service without a route and another start time",
+            odd: Entry {
+                service: "nowhere".into(),
+                born_ms: 9000,
+                ..entry("ledger", 7, DC_A)
+            },
+        },
+    ];
+    for case in cases {
+        let mut read = Catalog::default();
+        let routes = vec![route(ledger(), Traffic::Idempotent, &[("ledger", 1)])];
+        read.apply_configuration(configuration(5, 2, routes));
+        read.apply_update(written(1, 5, good()), at(0), HOLD);
+        read.apply_update(written(2, 6, entry("ledger", 2, DC_A)), at(0), HOLD);
+        let mut merged = Catalog::default();
+        merged.merge(&read.changed_after(0, at(0)), at(0));
+        // A VM of an earlier version passes the entry on as it is.
+        let mut undoubting = Catalog::default();
+        undoubting.apply_update(written(1, 7, case.odd.clone()), at(10), HOLD);
+        let passed_on = undoubting.changed_after(6, at(10));
+        assert!(read.apply_update(written(1, 7, case.odd), at(10), HOLD));
+        merged.merge(&passed_on, at(10));
+        for (source, catalog) in [("read", &mut read), ("merged", &mut merged)] {
+            let name = format!("{}, {source}", case.name);
+            let key = catalog.by_tag(tag(1, 1000)).unwrap();
+            let endpoint = catalog.endpoint(key).unwrap();
+            assert!(!endpoint.accepts_flows(at(20)), "{name}");
+            assert!(!endpoint.is_gone(at(9000)), "{name}");
+            let forwarding = catalog.forwarding_endpoint(key).unwrap();
+            assert_eq!(forwarding.entry.address, good().address, "{name}");
+            let accepting = catalog
+                .endpoints()
+                .filter(|(_, it)| it.accepts_flows(at(20)));
+            assert_eq!(
+                accepting.map(|(_, it)| it.id).collect::<Vec<_>>(),
+                [2],
+                "{name}"
+            );
+            catalog.apply_update(written(1, 8, good()), at(30), HOLD);
+            let endpoint = catalog.endpoint(key).unwrap();
+            assert!(endpoint.accepts_flows(at(30)), "{name}");
+            assert!(!catalog.is_ambiguous(key), "{name}");
+        }
+    }
+}
+
+#[test]
+fn entries_without_start_times_are_used_where_no_entry_has_one() {
+    let mut catalog = Catalog::default();
+    for id in [1, 2] {
+        let entry = Entry {
+            born_ms: 0,
+            ..entry("ledger", id as u8, DC_A)
+        };
+        catalog.apply_update(written(id, 5 + id, entry), at(0), HOLD);
+    }
+    assert!(catalog.endpoints().all(|(_, it)| it.accepts_flows(at(1))));
+}
+
+/// Guards against entries that VMs pass on to each other and that the receiver cannot use: they
+/// neither end the merge nor are used in another form, such as a truncated port.
+#[test]
+fn a_merge_uses_no_endpoint_or_route_with_values_out_of_range() {
+    struct Case {
+        name: &'static str,
+        alter: fn(&mut message::Endpoint),
+    }
+    let cases = [
+        Case {
+            name: "port above 65535",
+            alter: |it| it.port = 65_536 + 8080,
+        },
+        Case {
+            name: "port 0",
+            alter: |it| it.port = 0,
+        },
+        Case {
+            name: "no address",
+            alter: |it| it.ip = 0,
+        },
+        Case {
+            name: "broadcast address",
+            alter: |it| it.ip = u32::MAX,
+        },
+        Case {
+            name: "id 0",
+            alter: |it| it.id = 0,
+        },
+        Case {
+            name: "no slots",
+            alter: |it| it.slots = 0,
+        },
+        Case {
+            name: "too many slots",
+            alter: |it| it.slots = u32::MAX,
+        },
+        Case {
+            name: "no service",
+            alter: |it| it.service.clear(),
+        },
+        Case {
+            name: "service too long",
+            alter: |it| it.service = "a".repeat(60_000),
+        },
+        Case {
+            name: "data centre with a line break",
+            alter: |it| it.data_centre = "a\nb".to_owned(),
+        },
+        Case {
+            name: "endless warm-up",
+            alter: |it| it.warmup_left_ms = u32::MAX,
+        },
+        Case {
+            name: "removed long ago, held for long",
+            alter: |it| {
+                it.removal = Some(message::Removal {
+                    age_ms: u32::MAX,
+                    hold_ms: 0,
+                });
+            },
+        },
+        Case {
+            name: "no start time",
+            alter: |it| it.born_ms = 0,
+        },
+    ];
+    for case in cases {
+        let mut sender = Catalog::default();
+        let routes = vec![
+            route(ledger(), Traffic::Idempotent, &[("ledger", 1)]),
+            route(vault(), Traffic::Bulk, &[("vault", 1)]),
+        ];
+        sender.apply_configuration(configuration(5, 2, routes));
+        for id in [1, 2, 3] {
+            let entry = entry("ledger", id as u8, DC_A);
+            sender.apply_update(written(id, 5 + id, entry), at(0), HOLD);
+        }
+        let mut receiver = Catalog::default();
+        receiver.merge(&sender.changed_after(0, at(0)), at(0));
+        let mut changes = sender.changed_after(0, at(0));
+        for endpoint in &mut changes.endpoints {
+            endpoint.revision += 10;
+            if endpoint.id == 2 {
+                (case.alter)(endpoint);
+            }
+        }
+        let routes = &mut changes.configuration.as_mut().unwrap().routes;
+        let vault_ip = u32::from(*vault().ip());
+        for route in routes.iter_mut().filter(|route| route.ip == vault_ip) {
+            route.port += 65_536;
+        }
+        for (name, mut catalog) in [("known", receiver), ("unknown", Catalog::default())] {
+            catalog.merge(&changes, at(10));
+            let accepting = catalog
+                .endpoints()
+                .filter(|(_, it)| it.accepts_flows(at(20)) && it.revision > 10);
+            let mut ids: Vec<u64> = accepting.map(|(_, it)| it.id).collect();
+            ids.sort();
+            assert_eq!(ids, [1, 3], "{}, {name}", case.name);
+            let is_known = name == "known";
+            assert_eq!(catalog.route(vault()).is_some(), is_known, "{}", case.name);
+            assert!(catalog.route(ledger()).is_some(), "{}", case.name);
+        }
+    }
+}
+
 #[test]
 fn a_full_read_removes_entries_that_it_lacks() {
     let mut catalog = Catalog::default();
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -39,6 +39,7 @@
     Soak(Soak),
     Rotation(Rotation),
     Takeover(Takeover),
+    OddEntries(OddEntries),
 }
 
 /// Run a small data centre under load for about 20 s while VMs and servers change.
@@ -169,6 +170,16 @@
     seed: u64,
 }
 
+/// Write odd entries among those of the endpoints and check that the steering VMs serve on and
+/// follow the store, for about 30 s.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "odd-entries")]
+struct OddEntries {
+    /// seed of the addresses and the configurations
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 /// Take the reader of the store away in several ways, with silent connections, and check when a
 /// change of the configuration is in force, for about 60 s.
 #[derive(FromArgs)]
@@ -211,6 +222,9 @@
         Command::Rotation(rotation) => runtime
             .block_on(soak::run_rotation_drill(rotation.seed))
             .map(|deviations| report_deviations(&deviations)),
+        Command::OddEntries(odd_entries) => runtime
+            .block_on(soak::run_odd_entries_drill(odd_entries.seed))
+            .map(|deviations| report_deviations(&deviations)),
         Command::Takeover(takeover) => runtime
             .block_on(soak::run_takeover_drill(takeover.seed))
             .map(|deviations| report_deviations(&deviations)),
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -9,8 +9,10 @@
 mod faults;
 mod guarantees;
 mod links;
+mod odd_entries;
 mod proxy;
 mod rotation;
+mod status;
 mod store;
 mod takeover;
 mod vms;
@@ -27,6 +29,7 @@
 use tokio::time::sleep;
 
 pub use guarantees::{GuaranteeChecker, Routes};
+pub use odd_entries::run_odd_entries_drill;
 pub use rotation::run_rotation_drill;
 pub use store::Store;
 pub use takeover::run_takeover_drill;
--- /dev/null
+++ b/crates/testbed/src/soak/odd_entries.rs
@@ -0,0 +1,143 @@
+//! Drill of odd entries: another writer's items stand among those of the endpoints and replace some
+//! of them, while callers are served and the configuration changes.
+
+use std::time::Duration;
+
+use ragwortbeam_platform_standin::endpoint_key;
+use tokio::time::sleep;
+
+use super::status::{status_field, wait_until_in_force};
+use super::{Options, caller, faults, start_cluster};
+
+/// Time for which an endpoint's entry stays replaced.
+const REPLACED_TIME: Duration = Duration::from_millis(300);
+
+const VMS: u8 = 3;
+const CALLERS: u8 = 6;
+
+/// Keys under which each odd value is written, beside that of an endpoint.
+const ODD_KEYS: [&str; 5] = [
+    "servers/",
+    "servers/i-0",
+    "servers/i-+1f",
+    "servers/\u{0}\n\u{fffd}",
+    "servers/i-ffffffffffffffffffff",
+];
+
+/// Returns odd values, most of them those of an endpoint but for one field.
+fn odd_values() -> Vec<Vec<u8>> {
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    let entry = |field: &str, value: &str| {
+        let fields = [
+            ("service", "\"ledger\""),
+            ("address", "\"127.0.0.1:9\""),
+            ("zone", "\"dc-a\""),
+            ("version", "\"v1\""),
+            ("capacity", "2"),
+            ("state", "\"ready\""),
+            ("warmupLeftMs", "0"),
+            ("callSeq", "1"),
+            ("born", "1700000000123"),
+        ];
+        let fields = fields.map(|(name, usual)| {
+            let value = if name == field { value } else { usual };
+            format!("\"{name}\":{value}")
+        });
+        format!("{{{}}}", fields.join(",")).into_bytes()
+    };
+    let mut values = vec![
+        Vec::new(),
+        vec![0xff; 1000],
+        nested.clone().into_bytes(),
+        "{\"service\":".repeat(50_000).into_bytes(),
+        "9".repeat(50_000).into_bytes(),
+        entry("address", "\"127.0.0.1:65536\""),
+        entry("address", "\"127.0.0.1:0\""),
+        entry("capacity", "4294967295"),
+        entry("state", "\"resting\""),
+        entry("service", "\"a\\nevent=b\""),
+    ];
+    let fields = [
+        "service",
+        "address",
+        "zone",
+        "capacity",
+        "state",
+        "warmupLeftMs",
+        "born",
+    ];
+    for field in fields {
+        values.extend([&*nested, "1e999", "-1", "null"].map(|value| entry(field, value)));
+    }
+    values
+}
+
+/// Plays the drill with the real program; returns a description of each deviation.
+///
+/// # Errors
+///
+/// Returns the I/O error of a stand-in or VM process that cannot be started.
+///
+/// # Panics
+///
+/// Panics if the VMs are not all ready within 20 s.
+pub async fn run_odd_entries_drill(seed: u64) -> std::io::Result<Vec<String>> {
+    let directory = tempfile::tempdir()?;
+    let options = Options {
+        seed,
+        bursts: 0,
+        vms: VMS,
+        callers: CALLERS,
+        other_binary: None,
+    };
+    let (cluster, mut rng, rotation_task) = start_cluster(options, directory.path()).await?;
+    let callers: Vec<_> = (1..=CALLERS)
+        .map(|number| tokio::spawn(caller::run(cluster.clone(), number)))
+        .collect();
+    let mut deviations = Vec::new();
+    let vms: Vec<u8> = (1..=VMS).collect();
+    for (index, value) in odd_values().into_iter().enumerate() {
+        for key in ODD_KEYS {
+            cluster.store.put(key, value.clone());
+        }
+        cluster
+            .store
+            .put(&endpoint_key(0xabc0 + index as u64), value.clone());
+        let serving = cluster.endpoints.serving();
+        let replaced = serving[index % serving.len()];
+        if let Some(id) = cluster.endpoints.id(replaced) {
+            cluster.store.put(&endpoint_key(id), value);
+        }
+        let version = faults::write_random_configuration(&cluster, &mut rng);
+        if wait_until_in_force(&cluster, &vms, version).await.is_none() {
+            deviations.push(format!("value {index}: the VMs do not follow the store"));
+        }
+        sleep(REPLACED_TIME).await;
+        cluster.endpoints.register_all();
+    }
+    // A VM that starts now reads all of these at once.
+    cluster.vms.kill(VMS).await;
+    cluster.vms.start(&cluster, VMS)?;
+    sleep(Duration::from_secs(3)).await;
+    let version = faults::write_random_configuration(&cluster, &mut rng);
+    if wait_until_in_force(&cluster, &vms, version).await.is_none() {
+        deviations.push("the VMs do not follow the store after a start".to_owned());
+    }
+    for vm in vms {
+        let endpoints = status_field(&cluster, vm, "endpoints").await;
+        println!("vm {vm}: {endpoints:?} endpoints");
+    }
+    cluster.vms.check_none_exited(&cluster);
+    cluster.checker.check_service_recovered();
+    for caller in callers {
+        caller.abort();
+    }
+    cluster.vms.stop_all(&cluster).await;
+    rotation_task.abort();
+    println!("{}", cluster.checker.summary(seed));
+    deviations.extend(cluster.checker.violations());
+    if !deviations.is_empty() {
+        println!("logs are kept in {}", directory.keep().display());
+    }
+    Ok(deviations)
+}
--- a/crates/testbed/src/soak/takeover.rs
+++ b/crates/testbed/src/soak/takeover.rs
@@ -2,23 +2,18 @@
 //! the other VMs' connections to the store are silent, and the next change has to be in force in
 //! time on the VMs that run.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use tokio::time::sleep;
 
-use super::{Cluster, Options, faults, port, start_cluster};
-
-/// Time from the store's acknowledgement of a change within which it has to be in force.
-const APPLY_TIMEOUT: Duration = Duration::from_secs(3);
+use super::status::{status_field, wait_until_in_force};
+use super::{Cluster, Options, faults, start_cluster};
 
 /// Time after a fault of a VM's connections from which time bounds hold for it again.
 const CONTACT_TIME: Duration = Duration::from_millis(4500);
 
-/// Interval between two looks at a VM's status.
-const STATUS_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Three VMs: 2 belongs to the first data centre and reads the store, 1 and 3 to the second one.
 const VMS: u8 = 3;
 const READER: u8 = 2;
@@ -163,21 +158,6 @@
     Ok(elapsed)
 }
 
-/// Waits until the VMs use at least this version; returns the time that it took, or `None` after
-/// [`APPLY_TIMEOUT`].
-async fn wait_until_in_force(cluster: &Cluster, vms: &[u8], version: u64) -> Option<Duration> {
-    let started_at = Instant::now();
-    for vm in vms {
-        while status_field(cluster, *vm, "config").await < Some(version) {
-            if started_at.elapsed() > APPLY_TIMEOUT {
-                return None;
-            }
-            sleep(STATUS_INTERVAL).await;
-        }
-    }
-    Some(started_at.elapsed())
-}
-
 /// Returns the VM of the second data centre that ranks first as its reader.
 async fn successor(cluster: &Cluster) -> u8 {
     let rank = status_field(cluster, OTHERS[0], "rank").await;
@@ -187,13 +167,3 @@
         OTHERS[1]
     }
 }
-
-/// Returns a number from the status of a VM; `None` when the VM does not answer.
-async fn status_field(cluster: &Cluster, vm: u8, name: &str) -> Option<u64> {
-    let url = format!("http://{}:{}/status", cluster.ip(1, vm), port::METRICS);
-    let response = reqwest::get(url).await.ok()?;
-    let status = response.text().await.ok()?;
-    let mut fields = status.split_whitespace();
-    let value = fields.find_map(|field| field.strip_prefix(name)?.strip_prefix('='))?;
-    value.parse().ok()
-}
