A pulled catalog is as old as the start of its transfer

Cause: the age in a pulled catalog is that of the moment at which the peer stated it. Change: the time since the request is added. Conclusion: the age never understates on this path.

--- a/crates/steering/src/mesh/pull.rs
+++ b/crates/steering/src/mesh/pull.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use super::PeerLink;
+use crate::catalog::saturating_ms;
 use crate::message::Frame;
 use crate::prelude::*;
 
@@ -62,6 +63,7 @@
     let revision = link.catalog.lock().unwrap().revision();
     let context = || format!("catalog of {ip}");
     let client = http::Client::new(format!("{ip}:{}", link.port));
+    let sent_at = Moment::now();
     let response = client
         .get(&format!("/catalog?after={revision}"), PULL_TIMEOUT)
         .await
@@ -75,9 +77,15 @@
             status: response.status.as_u16(),
         });
     }
-    let frame =
+    let mut frame =
         Frame::decode(response.body).map_err(|error| Error::invalid_response(context(), error))?;
     info!("event=catalog_pulled from={ip} after={revision}");
-    link.handle_frame(frame, Moment::now());
+    let now = Moment::now();
+    if let Some(view) = &mut frame.view {
+        // The peer may have stated the age at any time since the request.
+        let transfer_ms = saturating_ms(now.since(sent_at));
+        view.age_ms = view.age_ms.saturating_add(transfer_ms);
+    }
+    link.handle_frame(frame, now);
     Ok(())
 }
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -16,9 +16,10 @@
 use ragwortbeam_steering::http_server::{self, HandlerState};
 use ragwortbeam_steering::load::EndpointLoads;
 use ragwortbeam_steering::mesh::{self, MembershipTable, PeerLink};
-use ragwortbeam_steering::message::{Frame, Member, View};
+use ragwortbeam_steering::message::{Digest, Frame, Member, View, frame};
 use ragwortbeam_steering::reader::{Reader, max_backoff, startup_delay};
 use ragwortbeam_steering::settings::Settings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
@@ -250,6 +251,34 @@
     }
 }
 
+fn member(last_octet: u8) -> Member {
+    Member {
+        ip: loopback_ip(last_octet).into(),
+        data_centre: DC_A.to_owned(),
+        ..Member::default()
+    }
+}
+
+/// Announces a revision to the VM at `receiver` in the name of a neighbour without a process;
+/// returns the listener for the pulls from it.
+async fn announce_revision(neighbour: u8, receiver: u8, port: u16, revision: u64) -> TcpListener {
+    let address = SocketAddrV4::new(loopback_ip(neighbour), port);
+    let listener = TcpListener::bind(address).await.unwrap();
+    let socket = UdpSocket::bind(address).await.unwrap();
+    let announcement = Frame {
+        sender: Some(member(neighbour)),
+        view: Some(View {
+            revision,
+            age_ms: 0,
+        }),
+        ..Frame::default()
+    };
+    let receiver = SocketAddrV4::new(loopback_ip(receiver), port);
+    let datagram = announcement.encode_to_vec();
+    socket.send_to(&datagram, receiver).await.unwrap();
+    listener
+}
+
 fn usable_ids(catalog: &Catalog) -> Vec<u64> {
     let now = Moment::now();
     let mut ids: Vec<u64> = catalog
@@ -483,6 +512,41 @@
     assert!(age >= time, "{age:?}");
 }
 
+/// Guards against a catalog that seems younger than it is after a slow transfer from a neighbour.
+#[tokio::test]
+async fn a_pulled_catalog_is_as_old_as_the_start_of_its_transfer() {
+    let failing = ScriptedSource::of((0..1000).map(|_| Response::Unavailable));
+    let vm = Vm::start(18, 17718, &[], failing).await;
+    let listener = announce_revision(19, 18, 17718, 1000).await;
+    let mut neighbour = Catalog::default();
+    neighbour.apply_configuration(full_update(10, &[]).configuration.unwrap());
+    let answer = Frame {
+        sender: Some(member(19)),
+        view: Some(View {
+            revision: 1000,
+            age_ms: 0,
+        }),
+        body: Some(frame::Body::Digest(Digest {
+            changes: Some(neighbour.changed_after(0, Moment::now())),
+            ..Digest::default()
+        })),
+        ..Frame::default()
+    };
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut request = [0; 1024];
+    assert!(stream.read(&mut request).await.unwrap() > 0);
+    let time = Duration::from_millis(400);
+    sleep(time).await;
+    let body = answer.encode_to_vec();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&body).await.unwrap();
+    vm.wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
+        .await;
+    let age = vm.catalog.lock().unwrap().age(Moment::now());
+    assert!(age >= time && age < 2 * time, "{age:?}");
+}
+
 /// Guards against a VM that follows nobody while it waits for a neighbour that does not respond.
 #[tokio::test]
 async fn a_pull_without_a_response_does_not_block_one_from_another_vm() {
@@ -497,26 +561,7 @@
         .wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
         .await;
     // A neighbour announces a later revision and accepts connections, but answers nothing.
-    let silent_address = SocketAddrV4::new(loopback_ip(17), 17715);
-    let _listener = TcpListener::bind(silent_address).await.unwrap();
-    let socket = UdpSocket::bind(silent_address).await.unwrap();
-    let announcement = Frame {
-        sender: Some(Member {
-            ip: loopback_ip(17).into(),
-            data_centre: DC_A.to_owned(),
-            ..Member::default()
-        }),
-        view: Some(View {
-            revision: 1000,
-            age_ms: 0,
-        }),
-        ..Frame::default()
-    };
-    let receiver = SocketAddrV4::new(loopback_ip(16), 17715);
-    socket
-        .send_to(&announcement.encode_to_vec(), receiver)
-        .await
-        .unwrap();
+    let _listener = announce_revision(17, 16, 17715, 1000).await;
     sleep(Duration::from_millis(50)).await;
     // Too many changes for a datagram, so that they have to be pulled.
     let ids: Vec<u64> = (1..=100).collect();
