serve watches release notes for a second at a time

Cause: a reader waited for notes for 10 s and 2 s more. Where the connections of both readers of a data centre go silent, a release came up to 12 s late, bound 4 s; a first failure added a call to another data centre and a pause. Change: a watch waits for 1 s and 0.6 s more; after a first failure the notes are read at once on a new connection. The proxy of the soak serves the testbed's worlds too.

--- a/crates/ragwortbeam/src/platform/http.rs
+++ b/crates/ragwortbeam/src/platform/http.rs
@@ -9,9 +9,13 @@
 use crate::document;
 use crate::errors::{Error, Result};
 
-/// Time allowed for a read, in addition to the time that the platform is asked to wait.
+/// Time allowed for a read of a whole document.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time allowed for the response with notes, in addition to the time that the platform is asked to
+/// wait for them.
+const NOTES_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// HTTP status 410 (Gone): the platform no longer keeps the requested notes or document.
 const STATUS_GONE: u16 = 410;
 
@@ -42,11 +46,11 @@
         &self,
         client: &Client,
         path: &str,
-        wait: Duration,
+        time_limit: Duration,
     ) -> Result<Option<T>> {
         let path = format!("{}{path}", self.base_path);
         let answer = client
-            .get(&path, wait + READ_TIMEOUT)
+            .get(&path, time_limit)
             .await
             .map_err(Error::platform)?;
         if answer.status == STATUS_GONE {
@@ -61,7 +65,7 @@
     }
 
     async fn get_existing<T: DeserializeOwned>(&self, client: &Client, path: &str) -> Result<T> {
-        let answer = self.get(client, path, Duration::ZERO).await?;
+        let answer = self.get(client, path, READ_TIMEOUT).await?;
         answer
             .ok_or_else(|| Error::platform(format!("{path}: the document is no longer available")))
     }
@@ -74,7 +78,8 @@
 
     fn notes(&self, after: u64, wait: Duration) -> Reply<'_, Option<document::Notes>> {
         let path = format!("/v1/notes?after={after}&wait_ms={}", wait.as_millis());
-        Box::pin(async move { self.get(&self.notes, &path, wait).await })
+        let time_limit = wait + NOTES_TIMEOUT;
+        Box::pin(async move { self.get(&self.notes, &path, time_limit).await })
     }
 
     fn vms(&self) -> Reply<'_, document::VmList> {
--- a/crates/ragwortbeam/src/platform/watch.rs
+++ b/crates/ragwortbeam/src/platform/watch.rs
@@ -18,8 +18,10 @@
 /// Number of VMs of a data centre that watch the platform.
 const READERS_PER_DATA_CENTRE: usize = 2;
 
-/// Time that one watch request waits for new notes before it returns without any.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time that one watch request waits for new notes before it returns without any. A connection that
+/// has gone silent is detected only after this time and that for the response; with the retry this
+/// has to stay below the four seconds in which a release has to be in force.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 
 /// Delay between two reads of the VM list by a reader.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
@@ -82,15 +84,28 @@
 }
 
 async fn watch_releases(node: &Arc<Node>) {
+    let mut has_failed = false;
     loop {
         if !is_reader(node) {
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        if let Err(error) = read_notes(node, WATCH_WAIT).await {
-            warn!("event=platform_read_failed error=\"{error}\"");
-            peer::releases::pull_from_other_data_centre(node).await;
-            sleep(with_jitter(MAX_RETRY_DELAY)).await;
+        // A first failure may be that of the connection, so the notes are read at once on a new one.
+        let wait = if has_failed {
+            Duration::ZERO
+        } else {
+            WATCH_WAIT
+        };
+        match read_notes(node, wait).await {
+            Ok(()) => has_failed = false,
+            Err(error) => {
+                warn!("event=platform_read_failed error=\"{error}\"");
+                if has_failed {
+                    peer::releases::pull_from_other_data_centre(node).await;
+                    sleep(with_jitter(MAX_RETRY_DELAY)).await;
+                }
+                has_failed = true;
+            }
         }
     }
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod network;
 pub mod platform;
+pub mod proxy;
 pub mod server;
 pub mod soak;
 pub mod spread;
--- a/crates/testbed/src/soak/proxy.rs
+++ b/crates/testbed/src/proxy.rs
@@ -1,6 +1,6 @@
-//! TCP proxy between one VM and the store, with injected faults.
+//! TCP proxy in front of the platform, with injected faults.
 
-use std::net::SocketAddrV4;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::time::Duration;
@@ -10,8 +10,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use super::{Cluster, port};
-
 /// Fault that the proxy injects into its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -28,7 +26,7 @@
     Delay,
 }
 
-/// Faults that one VM's proxy injects at present; none by default.
+/// Faults that a proxy injects at present; none by default.
 #[derive(Debug, Default)]
 pub struct ProxySwitch {
     /// The [`ProxyFault`] of all connections.
@@ -58,31 +56,33 @@
     }
 }
 
-/// Starts the proxy of a VM.
-///
-/// # Errors
-///
-/// Returns the I/O error if the proxy's address cannot be bound.
-pub async fn start(cluster: &Arc<Cluster>, number: u8) -> std::io::Result<()> {
-    let address = SocketAddrV4::new(cluster.ip(4, 10 + number), port::STORE);
-    let listener = TcpListener::bind(address).await?;
-    let (store_address, fault_switch) = (cluster.store.address, cluster.vms.proxy_switch(number));
+/// Relays the connections of a listener to `target` until the process ends.
+pub fn spawn(listener: TcpListener, target: SocketAddr, fault_switch: Arc<ProxySwitch>) {
     tokio::spawn(async move {
-        while let Ok((vm_stream, _)) = listener.accept().await {
-            let Ok(store_stream) = TcpStream::connect(store_address).await else {
+        while let Ok((client_stream, _)) = listener.accept().await {
+            let Ok(target_stream) = TcpStream::connect(target).await else {
                 continue;
             };
-            let (vm_reader, vm_writer) = vm_stream.into_split();
-            let (store_reader, store_writer) = store_stream.into_split();
-            tokio::spawn(relay(vm_reader, store_writer, fault_switch.clone(), false));
-            tokio::spawn(relay(store_reader, vm_writer, fault_switch.clone(), true));
+            let (client_reader, client_writer) = client_stream.into_split();
+            let (target_reader, target_writer) = target_stream.into_split();
+            tokio::spawn(relay(
+                client_reader,
+                target_writer,
+                fault_switch.clone(),
+                false,
+            ));
+            tokio::spawn(relay(
+                target_reader,
+                client_writer,
+                fault_switch.clone(),
+                true,
+            ));
         }
     });
-    Ok(())
 }
 
 /// Relays one direction of a connection until either side closes it. `is_response` is true in
-/// the direction from the store to the VM.
+/// the direction from the target to the client.
 async fn relay(
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
--- a/crates/testbed/src/soak/faults.rs
+++ b/crates/testbed/src/soak/faults.rs
@@ -14,9 +14,9 @@
 
 use super::endpoint::{PacketFault, SERVICES};
 use super::guarantees::Routes;
-use super::proxy::ProxyFault;
 use super::store::ResponseMode;
 use super::{Cluster, vms};
+use crate::proxy::ProxyFault;
 
 /// Idempotent route of the service `ledger`; idempotent routes have even ports. A flow may carry
 /// several requests.
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -10,7 +10,6 @@
 mod guarantees;
 mod links;
 mod odd_entries;
-mod proxy;
 mod rotation;
 mod status;
 mod store;
@@ -18,16 +17,18 @@
 mod vms;
 
 use std::io::ErrorKind;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::proxy;
 pub use guarantees::{GuaranteeChecker, Routes};
 pub use odd_entries::run_odd_entries_drill;
 pub use rotation::run_rotation_drill;
@@ -161,7 +162,7 @@
     });
     cluster.endpoints.start_all().await?;
     for number in 1..=cluster.options.vms {
-        proxy::start(&cluster, number).await?;
+        start_proxy(&cluster, number).await?;
         links::start(&cluster, number).await?;
         cluster.vms.start(&cluster, number)?;
     }
@@ -172,6 +173,15 @@
     Ok((cluster, rng, rotation_task))
 }
 
+/// Starts the proxy between a VM and the store.
+async fn start_proxy(cluster: &Arc<Cluster>, number: u8) -> std::io::Result<()> {
+    let address = SocketAddrV4::new(cluster.ip(4, 10 + number), port::STORE);
+    let listener = TcpListener::bind(address).await?;
+    let target = cluster.store.address.into();
+    proxy::spawn(listener, target, cluster.vms.proxy_switch(number));
+    Ok(())
+}
+
 /// Starts the store in the first subnet that no other run uses. The store's bound address marks
 /// the subnet as used, so that a parallel run fails to bind it and tries the next one.
 async fn claim_subnet(
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -14,8 +14,8 @@
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
-use super::proxy::ProxySwitch;
 use super::{Cluster, port};
+use crate::proxy::ProxySwitch;
 
 /// Pause between two rounds of readiness checks.
 const READINESS_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -12,6 +12,7 @@
 use nix::sys::signal::Signal;
 use ragwortbeam::document::{EndpointEntry, Note, ServiceChange, ServiceEntry, Snapshot};
 use tempfile::TempDir;
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -22,6 +23,7 @@
 use crate::history::{Event, History};
 use crate::network::Network;
 use crate::platform::Platform;
+use crate::proxy::{self, ProxySwitch};
 use crate::server::{Server, ServiceTimes};
 
 const DATA_CENTRE: &str = "nairobi-1";
@@ -82,6 +84,8 @@
 pub struct World {
     /// Configuration service that the nodes read.
     pub platform: Arc<Platform>,
+    /// Faults of the VMs' connections to the platform.
+    pub platform_proxy: Arc<ProxySwitch>,
     /// Network between the VMs.
     pub network: Arc<Network>,
     /// Fabric between the callers and the VMs.
@@ -141,10 +145,14 @@
             echo_servers.push(EchoServer::start().await?);
         }
         let platform = Platform::start(snapshot(&service_ports, &servers, &echo_servers)).await?;
+        let platform_proxy: Arc<ProxySwitch> = Arc::default();
+        let proxy_listener = TcpListener::bind("127.0.0.1:0").await?;
+        let platform_url = format!("http://{}", proxy_listener.local_addr()?);
+        proxy::spawn(proxy_listener, platform.address, platform_proxy.clone());
         let fleet_config = FleetConfig {
             folder: folder.path().to_owned(),
             data_centre: DATA_CENTRE.to_owned(),
-            platform_url: format!("http://{}", platform.address),
+            platform_url,
             ports: NodePorts {
                 peer: ports[0],
                 admin: ports[1],
@@ -161,6 +169,7 @@
         let mut world = Self {
             network: Arc::default(),
             platform,
+            platform_proxy,
             fabric,
             history,
             vms: BTreeMap::new(),
