--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -64,8 +64,7 @@
 
 /// Returns the beginning of a text that may have content from outside the process, for a quoted
 /// value of a log line: it neither ends the line nor makes it long.
-pub fn excerpt(text: &impl ToString) -> String {
-    let text = text.to_string();
+pub fn excerpt(text: &str) -> String {
     let mut excerpt: String = text
         .chars()
         .take(MAX_EXCERPT_CHARS)
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -269,12 +269,13 @@
     /// what is known, so that another process probably wrote it.
     ///
     /// That is the case for an entry without a start time where entries have one, and for one that
-    /// moves a running endpoint from a service with a route to one without.
+    /// moves an endpoint without a restart from a service with a route to one without.
     fn doubt(&self, id: u64, entry: Entry, revision: u64) -> Change {
         let current = self.by_id.get(&id).map(|key| &self.endpoints[*key].entry);
         let lacks_start_time = entry.born_ms == 0 && self.has_start_times;
         let leaves_its_service = current.is_some_and(|current| {
-            current.service != entry.service
+            current.born_ms == entry.born_ms
+                && current.service != entry.service
                 && self.configuration.has_service(&current.service)
                 && !self.configuration.has_service(&entry.service)
         });
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -114,10 +114,8 @@
     takeover_until: Moment,
     /// True while this VM is a reader, also during the backoff after a failed read.
     is_reading: bool,
-    /// True when the next watch has to return at once: this VM has just become a reader, or its
-    /// last watch got no response. Only the response shows that the connection works, and the
-    /// catalogs are already old.
-    is_response_due: bool,
+    /// Time of the last successful read.
+    answered_at: Moment,
     /// Time of the last failed read.
     failed_at: Moment,
     /// Backoff after the last failed read; zero after a successful one.
@@ -141,7 +139,7 @@
             outage_ended_at: None,
             takeover_until: Moment::default(),
             is_reading: false,
-            is_response_due: true,
+            answered_at: Moment::default(),
             failed_at: Moment::default(),
             backoff: Duration::ZERO,
         }
@@ -162,6 +160,7 @@
             }
             match self.read().await {
                 Ok(()) => {
+                    self.answered_at = Moment::now();
                     if self.backoff > Duration::ZERO {
                         info!("event=store_regained");
                     }
@@ -176,8 +175,6 @@
                         age.as_millis()
                     );
                     self.failed_at = Moment::now();
-                    // Further failures are a store outage, in which calls would only add up.
-                    self.is_response_due = self.backoff.is_zero();
                     self.backoff = (self.backoff * 2).clamp(MIN_BACKOFF, OVERALL_MAX_BACKOFF);
                 }
             }
@@ -214,7 +211,6 @@
             self.is_reading = is_reader;
             // Failures of an earlier turn say nothing about the store now.
             self.backoff = Duration::ZERO;
-            self.is_response_due = true;
             let event = if is_reader {
                 "reader_steps_in"
             } else {
@@ -228,21 +224,30 @@
         is_reader
     }
 
+    /// Returns the wait of a watch that is sent now.
+    ///
+    /// It is zero for the first watch of a turn as a reader and for the one after a watch without a
+    /// response: only a response shows that the connection works, and the catalogs are already old.
+    /// Further failures are a store outage, in which the calls would add up.
+    fn watch_wait(&self, now: Moment) -> Duration {
+        let is_in_series = now.since(self.answered_at) <= WATCH_TIMEOUT;
+        if is_in_series || self.backoff > MIN_BACKOFF {
+            WATCH_TIMEOUT
+        } else {
+            Duration::ZERO
+        }
+    }
+
     async fn read(&mut self) -> Result<()> {
         let (revision, is_loaded) = {
             let catalog = self.catalog.lock().unwrap();
             (catalog.revision(), catalog.is_loaded())
         };
         if is_loaded {
-            let wait = if self.is_response_due {
-                Duration::ZERO
-            } else {
-                WATCH_TIMEOUT
-            };
             let sent_at = Moment::now();
+            let wait = self.watch_wait(sent_at);
             counter!("ragwortbeam_store_reads_total", "kind" => "changes").increment(1);
             let changes = self.catalog_source.watch(revision, wait).await?;
-            self.is_response_due = false;
             if let Some(changes) = changes {
                 self.apply(changes, None, sent_at + wait);
                 return Ok(());
