--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! processes, while the stand-ins for callers and endpoints check the platform's guarantees.
 
 mod caller;
+mod drill;
 mod endpoint;
 mod faults;
 mod guarantees;
--- a/crates/testbed/src/soak/odd_entries.rs
+++ b/crates/testbed/src/soak/odd_entries.rs
@@ -6,8 +6,9 @@
 use ragwortbeam_platform_standin::endpoint_key;
 use tokio::time::sleep;
 
+use super::drill::Drill;
 use super::status::{status_field, wait_until_in_force};
-use super::{Options, caller, faults, start_cluster};
+use super::{caller, faults};
 
 /// Time for which an endpoint's entry stays replaced.
 const REPLACED_TIME: Duration = Duration::from_millis(300);
@@ -82,15 +83,8 @@
 ///
 /// Panics if the VMs are not all ready within 20 s.
 pub async fn run_odd_entries_drill(seed: u64) -> std::io::Result<Vec<String>> {
-    let directory = tempfile::tempdir()?;
-    let options = Options {
-        seed,
-        bursts: 0,
-        vms: VMS,
-        callers: CALLERS,
-        other_binary: None,
-    };
-    let (cluster, mut rng, rotation_task) = start_cluster(options, directory.path()).await?;
+    let mut drill = Drill::start(seed, VMS, CALLERS).await?;
+    let cluster = drill.cluster.clone();
     let callers: Vec<_> = (1..=CALLERS)
         .map(|number| tokio::spawn(caller::run(cluster.clone(), number)))
         .collect();
@@ -108,7 +102,7 @@
         if let Some(id) = cluster.endpoints.id(replaced) {
             cluster.store.put(&endpoint_key(id), value);
         }
-        let version = faults::write_random_configuration(&cluster, &mut rng);
+        let version = faults::write_random_configuration(&cluster, &mut drill.rng);
         if wait_until_in_force(&cluster, &vms, version).await.is_none() {
             deviations.push(format!("value {index}: the VMs do not follow the store"));
         }
@@ -119,7 +113,7 @@
     cluster.vms.kill(VMS).await;
     cluster.vms.start(&cluster, VMS)?;
     sleep(Duration::from_secs(3)).await;
-    let version = faults::write_random_configuration(&cluster, &mut rng);
+    let version = faults::write_random_configuration(&cluster, &mut drill.rng);
     if wait_until_in_force(&cluster, &vms, version).await.is_none() {
         deviations.push("the VMs do not follow the store after a start".to_owned());
     }
@@ -132,12 +126,6 @@
     for caller in callers {
         caller.abort();
     }
-    cluster.vms.stop_all(&cluster).await;
-    rotation_task.abort();
     println!("{}", cluster.checker.summary(seed));
-    deviations.extend(cluster.checker.violations());
-    if !deviations.is_empty() {
-        println!("logs are kept in {}", directory.keep().display());
-    }
-    Ok(deviations)
+    Ok(drill.finish(deviations).await)
 }
--- a/crates/testbed/src/soak/rotation.rs
+++ b/crates/testbed/src/soak/rotation.rs
@@ -6,7 +6,8 @@
 use nix::sys::signal::Signal;
 use tokio::time::sleep;
 
-use super::{Cluster, Options, start_cluster};
+use super::Cluster;
+use super::drill::Drill;
 
 /// Time within which the rotation has to follow a change: two failed readiness checks, each after
 /// at most 500 ms and with a timeout of 400 ms, and the VMs' own detection.
@@ -68,15 +69,8 @@
 ///
 /// Panics if the VMs are not all ready within 20 s.
 pub async fn run_rotation_drill(seed: u64) -> std::io::Result<Vec<String>> {
-    let directory = tempfile::tempdir()?;
-    let options = Options {
-        seed,
-        bursts: 0,
-        vms: VMS,
-        callers: 1,
-        other_binary: None,
-    };
-    let (cluster, _, rotation_task) = start_cluster(options, directory.path()).await?;
+    let drill = Drill::start(seed, VMS, 1).await?;
+    let cluster = &drill.cluster;
     // The VMs find each other within two rounds of the member lists.
     sleep(Duration::from_secs(4)).await;
     let mut deviations = Vec::new();
@@ -89,24 +83,18 @@
             };
             cluster.vms.signal(number, signal);
         }
-        let elapsed = wait_for_rotation(&cluster, step.in_rotation).await;
+        let elapsed = wait_for_rotation(cluster, step.in_rotation).await;
         println!("{}: after {elapsed:?}", step.name);
         if elapsed.is_none() {
             let found = cluster.vms.in_rotation();
             deviations.push(format!("{}: in rotation are {found:?}", step.name));
         }
-        let is_lasting = holds_for(&cluster, step.in_rotation, OBSERVATION_TIME).await;
+        let is_lasting = holds_for(cluster, step.in_rotation, OBSERVATION_TIME).await;
         if elapsed.is_some() && !is_lasting {
             deviations.push(format!("{}: the rotation changed again", step.name));
         }
     }
-    cluster.vms.stop_all(&cluster).await;
-    rotation_task.abort();
-    deviations.extend(cluster.checker.violations());
-    if !deviations.is_empty() {
-        println!("logs are kept in {}", directory.keep().display());
-    }
-    Ok(deviations)
+    Ok(drill.finish(deviations).await)
 }
 
 /// Waits until exactly these VMs are in rotation; `None` when that takes too long.
--- a/crates/testbed/src/soak/takeover.rs
+++ b/crates/testbed/src/soak/takeover.rs
@@ -8,8 +8,9 @@
 use rand::rngs::StdRng;
 use tokio::time::sleep;
 
+use super::drill::Drill;
 use super::status::{status_field, wait_until_in_force};
-use super::{Cluster, Options, faults, start_cluster};
+use super::{Cluster, faults};
 
 /// Time after a fault of a VM's connections from which time bounds hold for it again.
 const CONTACT_TIME: Duration = Duration::from_millis(4500);
@@ -91,30 +92,16 @@
 ///
 /// Panics if the VMs are not all ready within 20 s.
 pub async fn run_takeover_drill(seed: u64) -> std::io::Result<Vec<String>> {
-    let directory = tempfile::tempdir()?;
-    let options = Options {
-        seed,
-        bursts: 0,
-        vms: VMS,
-        callers: 1,
-        other_binary: None,
-    };
-    let (cluster, mut rng, rotation_task) = start_cluster(options, directory.path()).await?;
+    let mut drill = Drill::start(seed, VMS, 1).await?;
     sleep(CONTACT_TIME).await;
     let mut deviations = Vec::new();
     for step in STEPS {
-        match play(&cluster, &mut rng, &step).await? {
+        match play(&drill.cluster, &mut drill.rng, &step).await? {
             Some(elapsed) => println!("{}: in force after {elapsed:?}", step.name),
             None => deviations.push(format!("{}: not in force in time", step.name)),
         }
     }
-    cluster.vms.stop_all(&cluster).await;
-    rotation_task.abort();
-    deviations.extend(cluster.checker.violations());
-    if !deviations.is_empty() {
-        println!("logs are kept in {}", directory.keep().display());
-    }
-    Ok(deviations)
+    Ok(drill.finish(deviations).await)
 }
 
 /// Plays one step; returns the time until the change was in force on all VMs that run, or `None`
