--- a/crates/testbed/src/soak/faults.rs
+++ b/crates/testbed/src/soak/faults.rs
@@ -172,7 +172,7 @@
         FaultKind::KillVm => {
             cluster.vms.kill(vm).await;
             sleep(duration / 4).await;
-            cluster.vms.start(cluster, vm)?;
+            cluster.vms.start(cluster, vm).await?;
         }
         FaultKind::KillAllVms => {
             for vm in 1..=cluster.options.vms {
@@ -180,7 +180,7 @@
             }
             sleep(duration / 4).await;
             for vm in 1..=cluster.options.vms {
-                cluster.vms.start(cluster, vm)?;
+                cluster.vms.start(cluster, vm).await?;
             }
         }
         FaultKind::PauseVm => {
@@ -190,7 +190,7 @@
         }
         FaultKind::RestartVm => {
             cluster.vms.stop(cluster, vm).await;
-            cluster.vms.start(cluster, vm)?;
+            cluster.vms.start(cluster, vm).await?;
         }
         FaultKind::StoreResponses(mode) => {
             cluster.store.set_mode(mode);
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -165,7 +165,7 @@
     for number in 1..=cluster.options.vms {
         start_proxy(&cluster, number).await?;
         links::start(&cluster, number).await?;
-        cluster.vms.start(&cluster, number)?;
+        cluster.vms.start(&cluster, number).await?;
     }
     let mut rng = StdRng::seed_from_u64(cluster.options.seed);
     faults::write_random_configuration(&cluster, &mut rng);
--- a/crates/testbed/src/soak/odd_entries.rs
+++ b/crates/testbed/src/soak/odd_entries.rs
@@ -111,7 +111,7 @@
     }
     // A VM that starts now reads all of these at once.
     cluster.vms.kill(VMS).await;
-    cluster.vms.start(&cluster, VMS)?;
+    cluster.vms.start(&cluster, VMS).await?;
     sleep(Duration::from_secs(3)).await;
     let version = faults::write_random_configuration(&cluster, &mut drill.rng);
     if wait_until_in_force(&cluster, &vms, version).await.is_none() {
--- a/crates/testbed/src/soak/takeover.rs
+++ b/crates/testbed/src/soak/takeover.rs
@@ -135,7 +135,14 @@
     match step.signal {
         Signal::SIGKILL => {
             cluster.vms.kill(READER).await;
-            cluster.vms.start(cluster, READER)?;
+            cluster.vms.start(cluster, READER).await?;
+            // The soak's faults overlap, so that a VM may be started twice.
+            let pid = cluster.vms.pid(READER);
+            cluster.vms.start(cluster, READER).await?;
+            if cluster.vms.pid(READER) != pid {
+                let violation = "the second start of a VM replaced its process".to_owned();
+                cluster.checker.report_violation(violation);
+            }
         }
         _ => cluster.vms.signal(READER, Signal::SIGCONT),
     }
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -30,6 +30,9 @@
 pub(crate) struct Vms {
     count: u8,
     children: Mutex<HashMap<u8, Child>>,
+    /// Held while a VM's process is started or ended, by VM number, as overlapping faults may do both
+    /// at the same time; index 0 is unused.
+    lifecycles: Vec<tokio::sync::Mutex<()>>,
     /// Fault switches of the VMs' proxies, by VM number; index 0 is unused.
     proxy_switches: Vec<Arc<ProxySwitch>>,
     /// Packet addresses of the VMs that pass the readiness check.
@@ -41,6 +44,7 @@
         Self {
             count,
             children: Mutex::default(),
+            lifecycles: (0..=count).map(|_| tokio::sync::Mutex::default()).collect(),
             proxy_switches: (0..=count).map(|_| Arc::default()).collect(),
             rotation: Mutex::default(),
         }
@@ -93,8 +97,21 @@
         std::fs::write(settings_path(cluster, number), settings.to_string())
     }
 
-    /// Starts a VM's process; its output is appended to the VM's log file.
-    pub(crate) fn start(&self, cluster: &Cluster, number: u8) -> std::io::Result<()> {
+    /// Returns the id of a VM's process; `None` if it is not running.
+    pub(crate) fn pid(&self, number: u8) -> Option<u32> {
+        self.children.lock().unwrap().get(&number)?.id()
+    }
+
+    /// Starts a VM's process; its output is appended to the VM's log file. Does nothing if the VM
+    /// is running: overlapping faults may each start it.
+    pub(crate) async fn start(&self, cluster: &Cluster, number: u8) -> std::io::Result<()> {
+        let _lifecycle = self.lifecycles[usize::from(number)].lock().await;
+        let mut children = self.children.lock().unwrap();
+        if let Some(child) = children.get_mut(&number)
+            && child.try_wait()?.is_none()
+        {
+            return Ok(());
+        }
         self.write_settings(cluster, number, 0)?;
         cluster.checker.record_vm_start();
         let log = File::options()
@@ -113,15 +130,13 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
-        self.children.lock().unwrap().insert(number, child);
+        children.insert(number, child);
         Ok(())
     }
 
     /// Sends a signal to a VM's process, if it is running.
     pub(crate) fn signal(&self, number: u8, signal: Signal) {
-        let children = self.children.lock().unwrap();
-        let pid = children.get(&number).and_then(Child::id);
-        if let Some(pid) = pid
+        if let Some(pid) = self.pid(number)
             && let Err(error) = kill(Pid::from_raw(pid as i32), signal)
         {
             println!("vm {number}: sending {signal} failed: {error}");
@@ -130,6 +145,7 @@
 
     /// Kills a VM's process with SIGKILL, if it is running, and waits for its exit.
     pub(crate) async fn kill(&self, number: u8) {
+        let _lifecycle = self.lifecycles[usize::from(number)].lock().await;
         let child = self.children.lock().unwrap().remove(&number);
         if let Some(mut child) = child
             && let Err(error) = child.kill().await
@@ -140,6 +156,7 @@
 
     /// Stops a VM with SIGTERM and checks that it exits successfully and in time.
     pub(crate) async fn stop(&self, cluster: &Cluster, number: u8) {
+        let _lifecycle = self.lifecycles[usize::from(number)].lock().await;
         self.signal(number, Signal::SIGTERM);
         let Some(mut child) = self.children.lock().unwrap().remove(&number) else {
             return;
