--- a/crates/testbed/src/soak/takeover.rs
+++ b/crates/testbed/src/soak/takeover.rs
@@ -123,7 +123,12 @@
         running.retain(|vm| *vm != successor);
     }
     let passed_on = faults::write_random_configuration(cluster, rng);
-    wait_until_in_force(cluster, &OTHERS, passed_on).await;
+    if wait_until_in_force(cluster, &OTHERS, passed_on)
+        .await
+        .is_none()
+    {
+        return Ok(None);
+    }
     sleep(step.delay).await;
     cluster.vms.signal(READER, step.signal);
     if step.is_successor_paused {
