New flows leave an evacuated data centre

Change: orders are kept in the catalog as a set that is complete up to a revision, passed on as a whole with each message of changes, and read again in full where a VM of an older version passed a catalog on. No new flow and no copy of an opening packet goes to an evacuated data centre while another has an endpoint that answers.

--- a/crates/steering/src/catalog/mod.rs
+++ b/crates/steering/src/catalog/mod.rs
@@ -2,12 +2,14 @@
 
 mod configuration;
 mod endpoint;
+mod evacuation;
 mod store;
 mod token;
 mod wire;
 
 pub use configuration::{Configuration, Route, Target, Traffic};
 pub use endpoint::{Change, Endpoint, EndpointKey, Entry, EntryError, EntryUpdate, Removal};
+pub use evacuation::{EvacuationUpdate, Evacuations};
 pub use store::{Catalog, MergeSummary};
 pub use token::{address_mask, tag};
 pub use wire::saturating_ms;
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -10,8 +10,8 @@
 use spdlog::info;
 
 use super::{
-    Change, Configuration, Endpoint, EndpointKey, Entry, EntryUpdate, Removal, Route, address_mask,
-    tag,
+    Change, Configuration, Endpoint, EndpointKey, Entry, EntryUpdate, EvacuationUpdate,
+    Evacuations, Removal, Route, address_mask, tag,
 };
 
 /// Changes that a merge made; none by default.
@@ -31,6 +31,7 @@
     /// Latest moment at which `revision` was known to be the newest one.
     current_at: Moment,
     configuration: Configuration,
+    evacuations: Evacuations,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     /// Newest instance of each endpoint.
     by_id: HashMap<u64, EndpointKey>,
@@ -70,6 +71,27 @@
         self.configuration.routes.get(&address)
     }
 
+    /// Returns the evacuation orders that stand.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Applies the changes of evacuation orders up to `revision`.
+    pub fn apply_evacuations(&mut self, updates: Vec<EvacuationUpdate>, revision: u64) {
+        self.evacuations.apply(updates, revision);
+    }
+
+    /// Replaces the evacuation orders by a set that is complete up to a later revision; returns
+    /// whether it was one.
+    pub fn replace_evacuations(&mut self, evacuations: Evacuations) -> bool {
+        self.evacuations.replace(evacuations)
+    }
+
+    /// Returns whether an endpoint accepts new flows and its data centre is not evacuated.
+    pub fn is_available(&self, endpoint: &Endpoint, now: Moment) -> bool {
+        endpoint.accepts_flows(now) && !self.evacuations.contains(&endpoint.entry.data_centre)
+    }
+
     /// Returns an endpoint instance; `None` when it was dropped.
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
--- a/crates/steering/src/catalog/wire.rs
+++ b/crates/steering/src/catalog/wire.rs
@@ -8,8 +8,8 @@
 use spdlog::warn;
 
 use super::{
-    Catalog, Change, Configuration, Endpoint, Entry, EntryError, EntryUpdate, MergeSummary,
-    Removal, Route, Target, Traffic, tag,
+    Catalog, Change, Configuration, Endpoint, Entry, EntryError, EntryUpdate, Evacuations,
+    MergeSummary, Removal, Route, Target, Traffic, tag,
 };
 use crate::message;
 
@@ -19,7 +19,7 @@
 }
 
 impl Catalog {
-    /// Returns a message with all changes after `revision`.
+    /// Returns a message with all changes after `revision` and all evacuation orders.
     pub fn changed_after(&self, revision: u64, now: Moment) -> message::Catalog {
         let configuration = self.configuration();
         message::Catalog {
@@ -30,14 +30,31 @@
                 .filter(|(_, endpoint)| endpoint.revision > revision)
                 .map(|(_, endpoint)| endpoint_to_message(endpoint, now))
                 .collect(),
+            evacuations: self
+                .evacuations()
+                .ordered()
+                .map(|(data_centre, revision)| message::Evacuation {
+                    data_centre: data_centre.to_string(),
+                    revision,
+                })
+                .collect(),
         }
     }
 
+    /// Replaces the evacuation orders by those of another VM's message if these are complete up
+    /// to a later revision; returns whether they were.
+    pub fn merge_evacuations(&mut self, catalog: &message::Catalog, complete_to: u64) -> bool {
+        let orders = catalog.evacuations.iter();
+        let ordered = orders.map(|it| (it.data_centre.as_str().into(), it.revision));
+        self.replace_evacuations(Evacuations::new(complete_to, ordered))
+    }
+
     /// Returns a message with the revision and age of this catalog.
     pub fn view(&self, now: Moment) -> message::View {
         message::View {
             revision: self.revision(),
             age_ms: saturating_ms(self.age(now)),
+            evacuations_revision: self.evacuations().complete_to(),
         }
     }
 
--- a/crates/steering/src/catalog_source.rs
+++ b/crates/steering/src/catalog_source.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use crate::catalog::{Configuration, EntryUpdate};
+use crate::catalog::{Configuration, EntryUpdate, EvacuationUpdate};
 use crate::errors::Result;
 
 /// Full contents of the store, or the changes since an earlier revision.
@@ -15,6 +15,8 @@
     pub configuration: Option<Configuration>,
     /// Changes of endpoint entries.
     pub entry_updates: Vec<EntryUpdate>,
+    /// Changes of evacuation orders.
+    pub evacuation_updates: Vec<EvacuationUpdate>,
 }
 
 /// Result of a [`CatalogSource`] call: a boxed future, so that the trait is dyn-compatible.
@@ -22,7 +24,7 @@
 
 /// Read access to the store. Implementations never write.
 pub trait CatalogSource: Send + Sync {
-    /// Reads the configuration and all endpoint entries. Changes made during the reading may be
+    /// Reads the configuration, all endpoint entries and all evacuation orders. Changes made during the reading may be
     /// missing, but all changes up to the revision of the result are included.
     fn read_all(&self) -> SourceFuture<'_, CatalogUpdate>;
 
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -76,8 +76,10 @@
 /// Returns the endpoint for a new flow; `None` when the service has none that accepts flows.
 ///
 /// The endpoint belongs to the VM's subset, unless each endpoint of the subset is silent or accepts
-/// no new flows. When all entries of the service were removed a short time ago, they have probably
-/// lapsed while their endpoints still run, and one of these endpoints is returned.
+/// no new flows. An endpoint in an evacuated data centre is returned only when each endpoint
+/// elsewhere is silent or accepts no new flows. When all entries of the service were removed a
+/// short time ago, they have probably lapsed while their endpoints still run, and one of these
+/// endpoints is returned.
 pub fn choose(
     request: &PlacementRequest<'_>,
     subset: &Subset,
@@ -90,6 +92,9 @@
         *endpoint.entry.service == *request.service && !catalog.is_ambiguous(*key)
     };
     let is_usable = |it: &(EndpointKey, &Endpoint)| is_addressable(it) && it.1.accepts_flows(now);
+    let is_evacuated =
+        |it: &(EndpointKey, &Endpoint)| catalog.evacuations().contains(&it.1.entry.data_centre);
+    let is_available = |it: &(EndpointKey, &Endpoint)| is_usable(it) && !is_evacuated(it);
     // The entry of a replaced instance did not lapse: its endpoint has a newer one.
     let is_lapsed = |it: &(EndpointKey, &Endpoint)| {
         is_addressable(it)
@@ -104,20 +109,23 @@
     };
     let in_subset = subset.endpoints_of(request.service).iter();
     let in_subset = in_subset.filter_map(|key| Some((*key, catalog.endpoint(*key)?)));
-    let mut candidates: Vec<Candidate<'_>> = in_subset.filter(is_usable).map(candidate).collect();
+    let mut candidates: Vec<Candidate<'_>> =
+        in_subset.filter(is_available).map(candidate).collect();
+    let all_that = |is_allowed: &dyn Fn(&(EndpointKey, &Endpoint)) -> bool| {
+        let allowed = catalog.endpoints().filter(is_allowed);
+        allowed.map(candidate).collect::<Vec<Candidate<'_>>>()
+    };
     if candidates.iter().all(|it| it.is_silent) {
-        candidates = catalog
-            .endpoints()
-            .filter(is_usable)
-            .map(candidate)
-            .collect();
+        candidates = all_that(&is_available);
+    }
+    if candidates.is_empty() {
+        candidates = all_that(&|it| is_lapsed(it) && !is_evacuated(it));
+    }
+    if !catalog.evacuations().is_empty() && candidates.iter().all(|it| it.is_silent) {
+        candidates = all_that(&is_usable);
     }
     if candidates.is_empty() {
-        candidates = catalog
-            .endpoints()
-            .filter(is_lapsed)
-            .map(candidate)
-            .collect();
+        candidates = all_that(&is_lapsed);
     }
     let silent_count = candidates.iter().filter(|it| it.is_silent).count();
     let excludes_silent = silent_count * 100 <= candidates.len() * MAX_SILENT_PERCENT;
--- a/crates/steering/src/http_server.rs
+++ b/crates/steering/src/http_server.rs
@@ -98,8 +98,14 @@
     let data_centre = state.link.data_centre_state(now).unwrap_or_default();
     let catalog = state.catalog.lock().unwrap();
     let members = state.link.members.lock().unwrap();
+    let evacuated: Vec<&str> = catalog.evacuations().ordered().map(|it| &**it.0).collect();
+    let evacuated = if evacuated.is_empty() {
+        "-".to_owned()
+    } else {
+        evacuated.join(",")
+    };
     format!(
-        "config={} revision={} catalog_age_ms={} endpoints={} vms_here={} rank={} known_vms={} able_vms={} is_handed_over={}\n",
+        "config={} revision={} catalog_age_ms={} endpoints={} vms_here={} rank={} known_vms={} able_vms={} is_handed_over={} evacuated={}\n",
         catalog.configuration().version,
         catalog.revision(),
         catalog.age(now).as_millis(),
@@ -109,5 +115,6 @@
         data_centre.census.known,
         data_centre.census.able,
         data_centre.is_handed_over,
+        evacuated,
     )
 }
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -213,9 +213,13 @@
         now: Moment,
     ) {
         let known_at = now.before(Duration::from_millis(view.age_ms.into()));
+        let mut has_new_evacuations = false;
         let previous_revision = {
             let mut catalog = self.catalog.lock().unwrap();
             let previous_revision = catalog.revision();
+            if let Some((changes, _)) = &changes {
+                has_new_evacuations = catalog.merge_evacuations(changes, view.evacuations_revision);
+            }
             if let Some((changes, changed_after)) = changes
                 && changed_after <= previous_revision
                 && view.revision > previous_revision
@@ -236,10 +240,15 @@
             }
             previous_revision
         };
-        let current_revision = self.catalog.lock().unwrap().revision();
-        if current_revision > previous_revision {
+        let (current_revision, evacuations_revision) = {
+            let catalog = self.catalog.lock().unwrap();
+            (catalog.revision(), catalog.evacuations().complete_to())
+        };
+        let is_behind =
+            view.revision > current_revision || view.evacuations_revision > evacuations_revision;
+        if current_revision > previous_revision || has_new_evacuations {
             self.push_changes(previous_revision);
-        } else if view.revision > current_revision {
+        } else if is_behind {
             self.start_pull(ip, now);
         }
     }
--- a/crates/steering/src/node.rs
+++ b/crates/steering/src/node.rs
@@ -239,6 +239,8 @@
         gauge!("ragwortbeam_catalog_age_seconds").set(catalog.age(now).as_secs_f64());
         gauge!("ragwortbeam_catalog_revision").set(catalog.revision() as f64);
         gauge!("ragwortbeam_configuration_version").set(catalog.configuration().version as f64);
+        let evacuated = catalog.evacuations().ordered().len();
+        gauge!("ragwortbeam_evacuated_data_centres").set(evacuated as f64);
         gauge!("ragwortbeam_flows").set(steering.flow_count() as f64);
         gauge!("ragwortbeam_vms").set(link.members.lock().unwrap().local_vm_count(now) as f64);
     }
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -9,6 +9,7 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
+use crate::catalog::Evacuations;
 use crate::catalog_source::{CatalogSource, CatalogUpdate};
 use crate::mesh::PeerLink;
 use crate::prelude::*;
@@ -239,11 +240,13 @@
     }
 
     async fn read(&mut self) -> Result<()> {
-        let (revision, is_loaded) = {
+        let (revision, has_all) = {
             let catalog = self.catalog.lock().unwrap();
-            (catalog.revision(), catalog.is_loaded())
+            // A VM whose version has no evacuation orders passes on catalogs without them.
+            let has_evacuations = catalog.evacuations().complete_to() >= catalog.revision();
+            (catalog.revision(), catalog.is_loaded() && has_evacuations)
         };
-        if is_loaded {
+        if has_all {
             let sent_at = Moment::now();
             let wait = self.watch_wait(sent_at);
             counter!("ragwortbeam_store_reads_total", "kind" => "changes").increment(1);
@@ -302,6 +305,13 @@
             if let Some(configuration) = update.configuration {
                 catalog.apply_configuration(configuration);
             }
+            if present_ids.is_some() {
+                let ordered = update.evacuation_updates.into_iter();
+                let ordered = ordered.map(|order| (order.data_centre, order.revision));
+                catalog.replace_evacuations(Evacuations::new(update.revision, ordered));
+            } else {
+                catalog.apply_evacuations(update.evacuation_updates, update.revision);
+            }
             for entry_update in update.entry_updates {
                 catalog.apply_update(entry_update, now, hold);
             }
--- a/crates/steering/src/steer/event_log.rs
+++ b/crates/steering/src/steer/event_log.rs
@@ -3,7 +3,7 @@
 
 use metrics::counter;
 use ragwortbeam_base::logging::RateLimiter;
-use spdlog::info;
+use spdlog::{info, warn};
 
 use super::Steering;
 use crate::catalog::EndpointKey;
@@ -18,6 +18,9 @@
 /// Limit for lines about resets, discarded packets and failed sends, 20 a second.
 static REJECTION_LIMITER: RateLimiter = RateLimiter::new(20);
 
+/// Limit for lines about new flows to evacuated data centres, 5 a second.
+static EVACUATION_LIMITER: RateLimiter = RateLimiter::new(5);
+
 /// Limit for lines about endpoints that are silent by the report, 20 a second: many endpoints may
 /// end at once, and each VM hears of all of them.
 static REPORTED_SILENCE_LIMITER: RateLimiter = RateLimiter::new(20);
@@ -105,6 +108,29 @@
     );
 }
 
+/// Logs and counts a new flow to an evacuated data centre, which happens while the service has no
+/// endpoint elsewhere that answers.
+pub(super) fn log_evacuation_override(
+    request: &PlacementRequest<'_>,
+    catalog: &Catalog,
+    key: EndpointKey,
+) {
+    let Some(endpoint) = catalog.endpoint(key) else {
+        return;
+    };
+    let data_centre = &endpoint.entry.data_centre;
+    if !catalog.evacuations().contains(data_centre) {
+        return;
+    }
+    counter!("ragwortbeam_evacuation_overrides_total").increment(1);
+    if let Some(suppressed) = EVACUATION_LIMITER.try_acquire() {
+        warn!(
+            "event=evacuation_overridden data_centre={data_centre} service={} endpoint={:x} left_out={suppressed}",
+            request.service, endpoint.id
+        );
+    }
+}
+
 /// Logs and counts an endpoint that has left this VM's packets unanswered.
 pub(super) fn log_silent_endpoint(catalog: &Catalog, key: EndpointKey, now: Moment) {
     counter!("ragwortbeam_endpoints_silent_total", "evidence" => "this_vm").increment(1);
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -207,7 +207,7 @@
         if let Some(flow) = &opening_flow {
             let is_usable = catalog
                 .endpoint(flow.endpoint)
-                .is_some_and(|endpoint| endpoint.accepts_flows(now));
+                .is_some_and(|endpoint| catalog.is_available(endpoint, now));
             let is_retransmission = packet.acknowledged > flow.retransmissions;
             if is_retransmission
                 && !flow.is_counted_unanswered
@@ -254,6 +254,7 @@
             endpoint_loads.record_retry(key, now);
         }
         event_log::log_flow_placed(packet, &request, catalog, endpoint_loads, key, now);
+        event_log::log_evacuation_override(&request, catalog, key);
         self.pending_openings
             .lock()
             .unwrap()
--- a/crates/steering/src/subset.rs
+++ b/crates/steering/src/subset.rs
@@ -39,8 +39,8 @@
     /// Tags of all endpoints, those of the VM's data centre first; both parts in ascending order.
     all: Vec<u32>,
     checksum: u32,
-    /// Revision of the catalog that the subset was computed from.
-    revision: u64,
+    /// Revisions of the catalog and of its evacuation orders that the subset was computed from.
+    revisions: (u64, u64),
     /// End of the first hold of a removed entry, at which the subset changes; `None` when no hold
     /// is running.
     valid_until: Option<Moment>,
@@ -52,7 +52,7 @@
         let mut services: HashMap<&Arc<str>, [Candidates<'_>; 2]> = HashMap::new();
         let usable = || {
             let endpoints = catalog.endpoints();
-            endpoints.filter(|(_, endpoint)| endpoint.accepts_flows(now))
+            endpoints.filter(|(_, endpoint)| catalog.is_available(endpoint, now))
         };
         for (key, endpoint) in usable() {
             let is_remote = *endpoint.entry.data_centre != *data_centre;
@@ -61,7 +61,7 @@
         }
         let size = (MAX_TOTAL / services.len().max(1)).clamp(MIN_PER_SERVICE, MAX_PER_SERVICE);
         let mut subset = Self {
-            revision: catalog.revision(),
+            revisions: revisions(catalog),
             valid_until: usable().filter_map(|(_, it)| it.gone_at()).min(),
             ..Self::default()
         };
@@ -93,7 +93,7 @@
 
     /// Returns whether the subset need not be computed again.
     fn is_current(&self, catalog: &Catalog, now: Moment) -> bool {
-        self.revision == catalog.revision() && self.valid_until.is_none_or(|end| now < end)
+        self.revisions == revisions(catalog) && self.valid_until.is_none_or(|end| now < end)
     }
 
     /// Returns the endpoints of a service; empty when it has none.
@@ -117,6 +117,10 @@
     }
 }
 
+fn revisions(catalog: &Catalog) -> (u64, u64) {
+    (catalog.revision(), catalog.evacuations().complete_to())
+}
+
 fn rendezvous_hash(vm: Ipv4Addr, tag: u32) -> u64 {
     xxh3_64_with_seed(&tag.to_le_bytes(), u32::from(vm).into())
 }
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -10,7 +10,7 @@
 use common::{DC_A, DC_B, configuration, entry, ledger, removed, route, written};
 use prost::Message;
 use ragwortbeam_base::clock::Moment;
-use ragwortbeam_steering::catalog::{Catalog, Traffic};
+use ragwortbeam_steering::catalog::{Catalog, EvacuationUpdate, Traffic};
 use ragwortbeam_steering::catalog_source::{CatalogSource, CatalogUpdate, SourceFuture};
 use ragwortbeam_steering::errors::Error;
 use ragwortbeam_steering::http_server::{self, HandlerState};
@@ -133,6 +133,7 @@
             vec![route(ledger(), Traffic::Idempotent, &[("ledger", 1)])],
         )),
         entry_updates: entry_updates.collect(),
+        evacuation_updates: Vec::new(),
     }
 }
 
@@ -144,6 +145,7 @@
         revision,
         configuration: None,
         entry_updates,
+        evacuation_updates: Vec::new(),
     }
 }
 
@@ -270,6 +272,7 @@
         view: Some(View {
             revision,
             age_ms: 0,
+            evacuations_revision: revision,
         }),
         ..Frame::default()
     };
@@ -528,6 +531,7 @@
         view: Some(View {
             revision: 1000,
             age_ms: 0,
+            evacuations_revision: 1000,
         }),
         body: Some(frame::Body::Digest(Digest {
             changes: Some(neighbour.changed_after(0, Moment::now())),
@@ -624,3 +628,37 @@
         assert_eq!(delay, expected, "rank {}", case.rank);
     }
 }
+
+/// Guards against an evacuation order that is missed because a VM of a version without orders read
+/// the store and passed its catalog on.
+#[tokio::test]
+async fn a_reader_whose_catalog_may_lack_orders_reads_all() {
+    let mut all = full_update(1000, &[1]);
+    all.evacuation_updates.push(EvacuationUpdate {
+        data_centre: DC_B.into(),
+        revision: 900,
+        is_ordered: true,
+    });
+    let source = ScriptedSource::of([
+        Response::Update(full_update(10, &[1])),
+        Response::Update(all),
+    ]);
+    let vm = Vm::start(20, 17720, &[], source.clone()).await;
+    vm.wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
+        .await;
+    // Another VM's changes raise the revision, but not that of the orders.
+    vm.catalog.lock().unwrap().advance(20, Moment::now());
+    vm.wait_until(SHORT_LIMIT, "evacuated", |catalog| {
+        catalog.evacuations().contains(DC_B)
+    })
+    .await;
+    assert_eq!(source.calls.lock().unwrap()[0], "all");
+    let all_reads = source
+        .calls
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|it| **it == "all")
+        .count();
+    assert_eq!(all_reads, 2);
+}
