--- a/crates/steering/src/catalog/configuration.rs
+++ b/crates/steering/src/catalog/configuration.rs
@@ -36,6 +36,19 @@
     pub traffic: Traffic,
     /// Services with their weights; never empty, and the sum of the weights is above 0.
     pub targets: Vec<Target>,
+    /// Urgency of the requests; 0 is the most urgent.
+    pub priority: u32,
+    /// Time within which a request is to be answered; 0 when it is not set.
+    pub latency_target: Duration,
+}
+
+/// Limit for the endpoints of a service while they warm up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// Duration of the warm-up.
+    pub duration: Duration,
+    /// Requests a second that an endpoint bears meanwhile; above 0.
+    pub rate_per_s: f64,
 }
 
 impl Route {
@@ -60,7 +73,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// Revision of the store at which the configuration was written; 0 when there is none.
     pub revision: u64,
@@ -70,6 +83,8 @@
     pub flow_idle: Duration,
     /// Routes by destination address.
     pub routes: HashMap<SocketAddrV4, Route>,
+    /// Services whose endpoints have a limit while they warm up.
+    pub warmups: HashMap<Arc<str>, Warmup>,
 }
 
 impl Configuration {
--- a/crates/steering/src/catalog/mod.rs
+++ b/crates/steering/src/catalog/mod.rs
@@ -7,7 +7,7 @@
 mod token;
 mod wire;
 
-pub use configuration::{Configuration, Route, Target, Traffic};
+pub use configuration::{Configuration, Route, Target, Traffic, Warmup};
 pub use endpoint::{Change, Endpoint, EndpointKey, Entry, EntryError, EntryUpdate, Removal};
 pub use evacuation::{EvacuationUpdate, Evacuations};
 pub use store::{Catalog, MergeSummary};
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -77,14 +77,52 @@
     }
 
     /// Applies the changes of evacuation orders up to `revision`.
-    pub fn apply_evacuations(&mut self, updates: Vec<EvacuationUpdate>, revision: u64) {
+    pub fn apply_evacuations(
+        &mut self,
+        updates: Vec<EvacuationUpdate>,
+        revision: u64,
+        now: Moment,
+    ) {
+        let previous = self.evacuations.clone();
         self.evacuations.apply(updates, revision);
+        self.restart_warmups(&previous, now);
     }
 
     /// Replaces the evacuation orders by a set that is complete up to a later revision; returns
     /// whether it was one.
-    pub fn replace_evacuations(&mut self, evacuations: Evacuations) -> bool {
-        self.evacuations.replace(evacuations)
+    pub fn replace_evacuations(&mut self, evacuations: Evacuations, now: Moment) -> bool {
+        let previous = self.evacuations.clone();
+        let is_newer = self.evacuations.replace(evacuations);
+        self.restart_warmups(&previous, now);
+        is_newer
+    }
+
+    /// Takes the endpoints of data centres whose evacuation has ended for warming up where their
+    /// service has a limit: they may have been replaced meanwhile.
+    fn restart_warmups(&mut self, previous: &Evacuations, now: Moment) {
+        for endpoint in self.endpoints.values_mut() {
+            let data_centre = &endpoint.entry.data_centre;
+            let has_ended =
+                previous.contains(data_centre) && !self.evacuations.contains(data_centre);
+            let warmup = self.configuration.warmups.get(&endpoint.entry.service);
+            if let (true, Some(warmup)) = (has_ended, warmup) {
+                let ends_at = now + warmup.duration;
+                endpoint.warmup_ends_at = endpoint.warmup_ends_at.max(ends_at);
+            }
+        }
+    }
+
+    /// Returns the requests a second that an endpoint bears while it warms up; `None` when it has
+    /// no limit now.
+    pub fn warmup_rate(&self, endpoint: &Endpoint, now: Moment) -> Option<f64> {
+        let warmup = self.configuration.warmups.get(&endpoint.entry.service)?;
+        endpoint.is_warming_up(now).then_some(warmup.rate_per_s)
+    }
+
+    /// Returns the revisions of the catalog and of its evacuation orders, which change whenever an
+    /// endpoint does.
+    pub fn revisions(&self) -> (u64, u64) {
+        (self.revision, self.evacuations.complete_to())
     }
 
     /// Returns whether an endpoint accepts new flows and its data centre is not evacuated.
--- a/crates/steering/src/catalog/wire.rs
+++ b/crates/steering/src/catalog/wire.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Catalog, Change, Configuration, Endpoint, Entry, EntryError, EntryUpdate, Evacuations,
-    MergeSummary, Removal, Route, Target, Traffic, tag,
+    MergeSummary, Removal, Route, Target, Traffic, Warmup, tag,
 };
 use crate::message;
 
@@ -43,10 +43,15 @@
 
     /// Replaces the evacuation orders by those of another VM's message if these are complete up
     /// to a later revision; returns whether they were.
-    pub fn merge_evacuations(&mut self, catalog: &message::Catalog, complete_to: u64) -> bool {
+    pub fn merge_evacuations(
+        &mut self,
+        catalog: &message::Catalog,
+        complete_to: u64,
+        now: Moment,
+    ) -> bool {
         let orders = catalog.evacuations.iter();
         let ordered = orders.map(|it| (it.data_centre.as_str().into(), it.revision));
-        self.replace_evacuations(Evacuations::new(complete_to, ordered))
+        self.replace_evacuations(Evacuations::new(complete_to, ordered), now)
     }
 
     /// Returns a message with the revision and age of this catalog.
@@ -91,6 +96,26 @@
     }
 }
 
+impl From<Traffic> for message::Traffic {
+    fn from(traffic: Traffic) -> Self {
+        match traffic {
+            Traffic::Idempotent => Self::Idempotent,
+            Traffic::NonIdempotent => Self::NonIdempotent,
+            Traffic::Bulk => Self::Bulk,
+        }
+    }
+}
+
+impl From<message::Traffic> for Traffic {
+    fn from(traffic: message::Traffic) -> Self {
+        match traffic {
+            message::Traffic::Idempotent => Self::Idempotent,
+            message::Traffic::NonIdempotent => Self::NonIdempotent,
+            message::Traffic::Bulk => Self::Bulk,
+        }
+    }
+}
+
 fn configuration_to_message(configuration: &Configuration) -> message::Configuration {
     message::Configuration {
         revision: configuration.revision,
@@ -101,15 +126,20 @@
             .values()
             .map(route_to_message)
             .collect(),
+        warmups: configuration
+            .warmups
+            .iter()
+            .map(|(service, warmup)| message::Warmup {
+                service: service.to_string(),
+                duration_ms: saturating_ms(warmup.duration),
+                rate_per_s: warmup.rate_per_s,
+            })
+            .collect(),
     }
 }
 
 fn route_to_message(route: &Route) -> message::Route {
-    let traffic = match route.traffic {
-        Traffic::Idempotent => message::Traffic::Idempotent,
-        Traffic::NonIdempotent => message::Traffic::NonIdempotent,
-        Traffic::Bulk => message::Traffic::Bulk,
-    };
+    let traffic = message::Traffic::from(route.traffic);
     let targets = route.targets.iter().map(|target| message::Target {
         service: target.service.to_string(),
         weight: target.weight,
@@ -120,6 +150,8 @@
         name: route.name.clone(),
         traffic: traffic.into(),
         targets: targets.collect(),
+        priority: route.priority,
+        latency_target_ms: saturating_ms(route.latency_target),
     }
 }
 
@@ -150,6 +182,18 @@
         version: message.version,
         flow_idle: Duration::from_millis(message.flow_idle_ms.into()),
         routes: routes.map(|route| (route.address, route)).collect(),
+        warmups: message
+            .warmups
+            .iter()
+            .filter(|it| it.rate_per_s.is_finite() && it.rate_per_s > 0.0)
+            .map(|it| {
+                let warmup = Warmup {
+                    duration: Duration::from_millis(it.duration_ms.into()),
+                    rate_per_s: it.rate_per_s,
+                };
+                (it.service.as_str().into(), warmup)
+            })
+            .collect(),
     }
 }
 
@@ -168,12 +212,10 @@
     Some(Route {
         name: message.name.clone(),
         address: address(message.ip, message.port)?,
-        traffic: match message.traffic() {
-            message::Traffic::Idempotent => Traffic::Idempotent,
-            message::Traffic::NonIdempotent => Traffic::NonIdempotent,
-            message::Traffic::Bulk => Traffic::Bulk,
-        },
+        traffic: message.traffic().into(),
         targets,
+        priority: message.priority,
+        latency_target: Duration::from_millis(message.latency_target_ms.into()),
     })
 }
 
--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -73,6 +73,52 @@
     pub avoid: [Option<EndpointKey>; 2],
 }
 
+/// Requests for each slot from which an endpoint of another data centre gets no flows that this
+/// one has no room for: the counts of other data centres are old.
+const SPILL_PER_SLOT: u32 = 2;
+
+/// Returns the load of an open flow, in outstanding requests.
+pub fn open_weight(traffic: Traffic) -> f64 {
+    weights(traffic).open
+}
+
+/// Returns an endpoint with room in another data centre, for a new flow that this one has no room
+/// for; `None` when there is none.
+pub fn spill(
+    request: &PlacementRequest<'_>,
+    subset: &Subset,
+    catalog: &Catalog,
+    endpoint_loads: &EndpointLoads,
+    now: Moment,
+    random: &mut impl Rng,
+) -> Option<EndpointKey> {
+    let in_subset = subset.endpoints_of(request.service).iter();
+    let in_subset = in_subset.filter_map(|key| Some((*key, catalog.endpoint(*key)?)));
+    let has_room = |key: EndpointKey, endpoint: &Endpoint| {
+        let local = endpoint_loads.local_load(key);
+        let elsewhere = endpoint_loads.reported_load(endpoint, now).busy;
+        local.busy + local.leased + elsewhere < endpoint.entry.slots * SPILL_PER_SLOT
+    };
+    let candidates = in_subset.filter(|(key, endpoint)| {
+        *endpoint.entry.data_centre != *request.data_centre
+            && catalog.is_available(endpoint, now)
+            && catalog.warmup_rate(endpoint, now).is_none()
+            && !catalog.is_ambiguous(*key)
+            && !request.avoid.contains(&Some(*key))
+            && !endpoint_loads.is_silent(*key, endpoint, now)
+            && has_room(*key, endpoint)
+    });
+    let costed = candidates.map(|(key, endpoint)| {
+        let jitter = random.random_range(0.0..MAX_JITTER);
+        (
+            key,
+            cost(request, key, endpoint, endpoint_loads, now) + jitter,
+        )
+    });
+    let cheapest = costed.min_by(|left, right| left.1.total_cmp(&right.1));
+    cheapest.map(|(key, _)| key)
+}
+
 /// Returns the endpoint for a new flow; `None` when the service has none that accepts flows.
 ///
 /// The endpoint belongs to the VM's subset, unless each endpoint of the subset is silent or accepts
@@ -91,7 +137,10 @@
     let is_addressable = |(key, endpoint): &(EndpointKey, &Endpoint)| {
         *endpoint.entry.service == *request.service && !catalog.is_ambiguous(*key)
     };
-    let is_usable = |it: &(EndpointKey, &Endpoint)| is_addressable(it) && it.1.accepts_flows(now);
+    // Only an allocator can keep the limit of an endpoint that warms up.
+    let is_usable = |it: &(EndpointKey, &Endpoint)| {
+        is_addressable(it) && it.1.accepts_flows(now) && catalog.warmup_rate(it.1, now).is_none()
+    };
     let is_evacuated =
         |it: &(EndpointKey, &Endpoint)| catalog.evacuations().contains(&it.1.entry.data_centre);
     let is_available = |it: &(EndpointKey, &Endpoint)| is_usable(it) && !is_evacuated(it);
@@ -168,12 +217,8 @@
     let local = endpoint_loads.local_load(key);
     let reported = endpoint_loads.reported_load(endpoint, now);
     let open = f64::from(local.open + reported.open);
-    let busy = f64::from(local.busy + reported.busy);
-    let weights = match request.traffic {
-        Traffic::Idempotent => MULTI_REQUEST,
-        Traffic::NonIdempotent => SINGLE_REQUEST,
-        Traffic::Bulk => BULK,
-    };
+    let busy = f64::from(local.busy + local.leased + reported.busy);
+    let weights = weights(request.traffic);
     let load = busy * weights.busy + open * weights.open;
     let mut cost = load / f64::from(endpoint.entry.slots);
     cost += f64::from(local.unanswered) * UNANSWERED_PENALTY;
@@ -185,3 +230,11 @@
     }
     cost
 }
+
+fn weights(traffic: Traffic) -> Weights {
+    match traffic {
+        Traffic::Idempotent => MULTI_REQUEST,
+        Traffic::NonIdempotent => SINGLE_REQUEST,
+        Traffic::Bulk => BULK,
+    }
+}
--- a/crates/steering/src/flow.rs
+++ b/crates/steering/src/flow.rs
@@ -2,6 +2,7 @@
 //! on resets only; a packet of an open flow is steered by its token without it.
 
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
 
 use crate::catalog::{EndpointKey, Traffic};
 use crate::packet::Packet;
@@ -43,6 +44,19 @@
     pub endpoint_answered: bool,
     /// True when the packet's data was sent before and the endpoint has not answered since.
     pub is_retransmission: bool,
+    /// True when the packet begins a request while none was outstanding.
+    pub begins_request: bool,
+    /// True when the packet ends the outstanding request.
+    pub ends_request: bool,
+}
+
+/// Lease of a slot, as the allocator and the VM that claimed it know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// VM that allocated the slot.
+    pub allocator: Ipv4Addr,
+    /// Number of the claim.
+    pub number: u64,
 }
 
 /// State of a flow on this VM.
@@ -62,6 +76,8 @@
     pub opened_at: Moment,
     /// True when the latest opening packet has been counted as unanswered.
     pub is_counted_unanswered: bool,
+    /// Lease of the slot for the flow's first request; `None` without one, and after its end.
+    pub lease: Option<Lease>,
     last_packet_at: Moment,
     is_open: bool,
     is_finished: bool,
@@ -82,6 +98,7 @@
             retransmissions: packet.acknowledged,
             opened_at: now,
             is_counted_unanswered: false,
+            lease: None,
             last_packet_at: now,
             is_open: false,
             is_finished: false,
@@ -127,6 +144,7 @@
     /// Updates the flow with a packet other than an opening one.
     pub fn observe(&mut self, packet: &Packet, now: Moment) -> Observation {
         self.last_packet_at = now;
+        let was_waiting = self.is_waiting();
         let was_opening = !self.is_open;
         let is_acknowledging = was_opening || is_after(packet.acknowledged, self.acknowledged);
         let end = packet.sequence.wrapping_add(packet.data_len.into());
@@ -150,16 +168,23 @@
         Observation {
             endpoint_answered: is_acknowledging,
             is_retransmission: has_data && !is_new_data && !is_acknowledging,
+            begins_request: !was_waiting && self.is_waiting(),
+            ends_request: was_waiting && !self.is_waiting(),
         }
     }
 
+    /// Returns whether a request is outstanding, however long ago it began.
+    fn is_waiting(&self) -> bool {
+        !self.is_finished && self.waiting_since.is_some()
+    }
+
     fn counts_as_open(&self, now: Moment) -> bool {
         !self.is_finished && now.since(self.last_packet_at) < OPEN_WINDOW
     }
 
     fn counts_as_busy(&self, now: Moment) -> bool {
         let waits = |since| now.since(since) < BUSY_WINDOW;
-        !self.is_finished && self.waiting_since.is_some_and(waits)
+        self.lease.is_none() && !self.is_finished && self.waiting_since.is_some_and(waits)
     }
 }
 
@@ -180,14 +205,14 @@
         self.flows.get_mut(&addresses)
     }
 
-    /// Adds a flow; replaces an earlier one with the same addresses.
-    pub fn insert(&mut self, addresses: AddressPair, flow: Flow) {
-        self.flows.insert(addresses, flow);
+    /// Adds a flow; returns an earlier one with the same addresses, which it replaces.
+    pub fn insert(&mut self, addresses: AddressPair, flow: Flow) -> Option<Flow> {
+        self.flows.insert(addresses, flow)
     }
 
-    /// Drops a flow.
-    pub fn remove(&mut self, addresses: AddressPair) {
-        self.flows.remove(&addresses);
+    /// Drops and returns a flow; `None` when it is not in the table.
+    pub fn remove(&mut self, addresses: AddressPair) -> Option<Flow> {
+        self.flows.remove(&addresses)
     }
 
     /// Returns the number of flows.
@@ -213,7 +238,8 @@
         });
     }
 
-    /// Returns the numbers of open flows and of outstanding requests, in this order, by endpoint.
+    /// Returns the numbers of open flows and of outstanding requests without a lease, in this order,
+    /// by endpoint.
     pub fn counts(&self, now: Moment) -> HashMap<EndpointKey, (u32, u32)> {
         let mut counts: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
         for flow in self.flows.values() {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod mesh;
 pub mod node;
 pub mod packet;
+pub mod placement;
 pub mod prelude;
 pub mod reader;
 pub mod reset;
--- a/crates/steering/src/load.rs
+++ b/crates/steering/src/load.rs
@@ -22,6 +22,10 @@
 /// Longest delay between two retries of a silent endpoint.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(8);
 
+/// Time after which unanswered packets count no longer: one more than the longest delay between two
+/// retries. A VM whose flows are placed by an allocator makes no retries of its own.
+const UNANSWERED_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Age above which a report of other VMs is ignored: several report intervals. Also the time for
 /// which this VM reports an endpoint without flows after its last answer.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
@@ -34,10 +38,15 @@
 pub struct LocalLoad {
     /// Number of open flows.
     pub open: u32,
-    /// Number of outstanding requests.
+    /// Number of outstanding requests, but for those with a lease.
     pub busy: u32,
+    /// Number of leases of this VM's allocator, whichever VM holds them.
+    pub leased: u32,
     /// Number of unanswered opening packets since the endpoint's last answer.
     pub unanswered: u32,
+    /// True when the endpoint is silent for this VM's allocator.
+    is_silent_for_allocator: bool,
+    unanswered_at: Moment,
     answered_at: Option<Moment>,
     retry_at: Moment,
     retry_delay: Duration,
@@ -100,6 +109,16 @@
         self.local.get(key).copied().unwrap_or_default()
     }
 
+    /// Drops unanswered packets that are too old to count.
+    pub fn forget_unanswered(&mut self, now: Moment) {
+        for local in self.local.values_mut() {
+            if local.unanswered > 0 && now.since(local.unanswered_at) > UNANSWERED_LIFETIME {
+                local.unanswered = 0;
+                local.retry_delay = Duration::ZERO;
+            }
+        }
+    }
+
     /// Returns the load at an endpoint that the other VMs report; 0 when the report is too old.
     pub fn reported_load(&self, endpoint: &Endpoint, now: Moment) -> ReportedLoad {
         if now.since(self.report.received_at) > REPORT_LIFETIME {
@@ -114,14 +133,38 @@
         self.report.contributors
     }
 
-    /// Adds a new flow with one outstanding request to the counts.
-    pub fn add_flow(&mut self, key: EndpointKey) {
+    /// Adds a new flow with one outstanding request to the counts; the request of a flow with a
+    /// lease is counted by the allocator.
+    pub fn add_flow(&mut self, key: EndpointKey, is_leased: bool) {
         if let Some(local) = self.local_load_mut(key) {
             local.open += 1;
+            local.busy += u32::from(!is_leased);
+        }
+    }
+
+    /// Adds an outstanding request of a known flow to the counts.
+    pub fn begin_request(&mut self, key: EndpointKey) {
+        if let Some(local) = self.local_load_mut(key) {
             local.busy += 1;
         }
     }
 
+    /// Removes an outstanding request from the counts.
+    pub fn end_request(&mut self, key: EndpointKey) {
+        if let Some(local) = self.local_load_mut(key) {
+            local.busy = local.busy.saturating_sub(1);
+        }
+    }
+
+    /// Sets the number of leases that this VM's allocator has for an endpoint, and whether the
+    /// endpoint is silent for it.
+    pub fn set_leases(&mut self, key: EndpointKey, leased: u32, is_silent: bool) {
+        if let Some(local) = self.local_load_mut(key) {
+            local.leased = leased;
+            local.is_silent_for_allocator = is_silent;
+        }
+    }
+
     /// Replaces the counts of open flows and outstanding requests, in this order, of all endpoints.
     pub fn set_counts(&mut self, counts: &HashMap<EndpointKey, (u32, u32)>) {
         for local in self.local.values_mut() {
@@ -156,6 +199,7 @@
             return false;
         }
         local.unanswered += 1;
+        local.unanswered_at = now;
         if local.unanswered == SILENT_THRESHOLD {
             local.retry_at = now + INITIAL_RETRY_DELAY;
         }
@@ -223,14 +267,20 @@
     pub fn local_loads(&self, catalog: &Catalog, now: Moment) -> Loads {
         let loads = self.local.iter().filter_map(|(key, local)| {
             let endpoint = catalog.endpoint(key)?;
-            let is_idle = local.open == 0 && local.busy == 0 && local.unanswered == 0;
+            let busy = local.busy + local.leased;
+            let unanswered = if local.is_silent_for_allocator {
+                local.unanswered.max(SILENT_THRESHOLD)
+            } else {
+                local.unanswered
+            };
+            let is_idle = local.open == 0 && busy == 0 && unanswered == 0;
             if is_idle && !self.answered_within(key, REPORT_LIFETIME, now) {
                 return None;
             }
             let reported = ReportedLoad {
                 open: local.open,
-                busy: local.busy,
-                unanswered: local.unanswered,
+                busy,
+                unanswered,
                 is_alive: self.answered_within(key, ALIVE_WINDOW, now),
             };
             Some((endpoint.tag, reported))
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -6,13 +6,16 @@
 use prost::Message;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
 
 use super::heartbeat::{HUBS_PER_VM, HeartbeatOptions, HeartbeatPacing};
+use super::placement::ReceivedAnswer;
 use super::pull::Pulls;
 use super::rotation::Rotation;
 use super::{LoadAggregate, MembershipTable};
 use crate::load::{EndpointLoads, Loads};
 use crate::message::{self, Digest, Frame, frame};
+use crate::placement::Allocator;
 use crate::prelude::*;
 use crate::settings::Settings;
 use crate::subset::SubsetCache;
@@ -42,6 +45,10 @@
     pub(super) pacing: Mutex<HeartbeatPacing>,
     pub(super) rotation: Mutex<Rotation>,
     pub(super) pulls: Mutex<Pulls>,
+    /// Allocator of this VM.
+    pub allocator: Arc<Mutex<Allocator>>,
+    /// Receives the answers to this VM's claims; `None` until it is set.
+    pub(super) answers: Mutex<Option<UnboundedSender<ReceivedAnswer>>>,
 }
 
 impl PeerLink {
@@ -66,6 +73,11 @@
             pacing: Mutex::default(),
             rotation: Mutex::default(),
             pulls: Mutex::default(),
+            allocator: Arc::new(Mutex::new(Allocator::new(
+                &settings.data_centre,
+                settings.warmup_limit,
+            ))),
+            answers: Mutex::default(),
         }
     }
 
@@ -122,6 +134,7 @@
             members.hubs(HUBS_PER_VM, now)
         };
         self.send_heartbeat(&hubs, HeartbeatOptions::default(), now);
+        self.stop_allocating(now);
     }
 
     /// Returns the answer to a peer that pulls the catalog and whose own one includes all
@@ -195,6 +208,7 @@
                 changes = received.map(|changes| (changes, digest.changed_after));
                 self.apply_digest(ip, is_local, &sender.data_centre, &digest, now);
             }
+            Some(frame::Body::Placement(placement)) => self.handle_placement(ip, &placement, now),
             None => {}
         }
         if let Some(view) = frame.view {
@@ -218,7 +232,8 @@
             let mut catalog = self.catalog.lock().unwrap();
             let previous_revision = catalog.revision();
             if let Some((changes, _)) = &changes {
-                has_new_evacuations = catalog.merge_evacuations(changes, view.evacuations_revision);
+                let complete_to = view.evacuations_revision;
+                has_new_evacuations = catalog.merge_evacuations(changes, complete_to, now);
             }
             if let Some((changes, changed_after)) = changes
                 && changed_after <= previous_revision
--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use spdlog::info;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::message;
 use crate::prelude::*;
@@ -49,6 +49,8 @@
     pub weight: u32,
     /// True when the peer has announced that it is shutting down.
     pub is_leaving: bool,
+    /// True when the peer answers claims.
+    pub is_allocator: bool,
     /// Time at which this VM or another one last received a frame from the peer.
     pub last_seen_at: Moment,
     /// Time at which this VM itself last received a frame from the peer; `None` before the first.
@@ -118,6 +120,7 @@
             weight: self.weight,
             age_ms: 0,
             is_leaving: self.is_leaving,
+            is_allocator: true,
         }
     }
 
@@ -151,6 +154,7 @@
             data_centre: member.data_centre.as_str().into(),
             weight: member.weight,
             is_leaving: member.is_leaving,
+            is_allocator: member.is_allocator,
             last_seen_at,
             contact_at: None,
             unanswered_heartbeats: 0,
@@ -196,6 +200,26 @@
         self.peers.values().any(|member| member.is_alive(now))
     }
 
+    /// Returns up to `count` VMs of this data centre that can be the allocator of a shard, the one
+    /// to ask first first. All VMs with the same members return the same ones.
+    pub fn allocators(&self, shard: u64, count: usize, now: Moment) -> Vec<Ipv4Addr> {
+        let peers = self.peers.iter().filter(|(_, member)| {
+            member.is_allocator
+                && !member.is_leaving
+                && member.data_centre == self.data_centre
+                && member.is_alive(now)
+        });
+        let mut ranked: Vec<(f64, Ipv4Addr)> = peers
+            .map(|(ip, member)| (allocator_score(shard, *ip, member.weight), *ip))
+            .collect();
+        if !self.is_leaving {
+            ranked.push((allocator_score(shard, self.ip, self.weight), self.ip));
+        }
+        ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, ip)| ip).collect()
+    }
+
     /// Returns the number of live VMs in this data centre, including this one.
     pub fn local_vm_count(&self, now: Moment) -> usize {
         let alive = self
@@ -352,6 +376,7 @@
                 weight: member.weight,
                 age_ms: now.since(member.last_seen_at).as_millis() as u32,
                 is_leaving: member.is_leaving,
+                is_allocator: member.is_allocator,
             })
         });
         messages.collect()
@@ -384,6 +409,15 @@
     }
 }
 
+/// Returns the score of a VM as the allocator of a shard; the lowest ranks first. A VM is the
+/// allocator of shards in proportion to the geometric mean of its link and its processor.
+fn allocator_score(shard: u64, ip: Ipv4Addr, weight: u32) -> f64 {
+    let hash = xxh3_64_with_seed(&ip.octets(), shard);
+    // A uniform number above 0 and up to 1.
+    let uniform = ((hash >> 11) + 1) as f64 / (1_u64 << 53) as f64;
+    -uniform.ln() / f64::from(weight.max(1)).sqrt()
+}
+
 /// Returns the sort key of a VM in hub order: higher weights come first, and a hash of the
 /// address breaks ties.
 fn hub_order(ip: Ipv4Addr, weight: u32) -> (Reverse<u32>, u64) {
--- a/crates/steering/src/mesh/mod.rs
+++ b/crates/steering/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 mod heartbeat;
 mod link;
 mod members;
+mod placement;
 mod pull;
 mod rotation;
 
@@ -20,4 +21,5 @@
 pub use heartbeat::{HeartbeatPacing, send_heartbeats};
 pub use link::{PeerLink, receive_frames};
 pub use members::{Member, MembershipTable};
+pub use placement::{ReceivedAnswer, expire_leases};
 pub use pull::pull_catalog;
--- a/crates/steering/src/node.rs
+++ b/crates/steering/src/node.rs
@@ -20,7 +20,7 @@
 use crate::prelude::*;
 use crate::reader::Reader;
 use crate::settings::{self, Settings};
-use crate::steer::{self, Steering};
+use crate::steer::{self, Leasing, Steering};
 
 /// Size of the kernel's receive buffer of a UDP socket, bytes; holds the packets that a busy VM
 /// receives in half a second.
@@ -121,6 +121,11 @@
             endpoint_loads,
             link.subsets.clone(),
         ));
+        steering.set_leasing(Leasing::new(
+            link.members.clone(),
+            settings.allocation_min_vms,
+        ));
+        let codec: Arc<dyn Codec> = adapter.codec.into();
         let readiness: Arc<Readiness> = Arc::default();
         let state = http_server::HandlerState {
             readiness: readiness.clone(),
@@ -139,12 +144,20 @@
         tokio::spawn(http_server::serve_ready(state.clone(), ready_listener));
         tokio::spawn(http_server::serve_peers(state.clone(), peer_listener));
         tokio::spawn(http_server::serve_metrics(state, metrics_listener));
+        tokio::spawn(steer::place_claimed(
+            steering.clone(),
+            codec.clone(),
+            packet_socket.clone(),
+            link.clone(),
+        ));
+        tokio::spawn(mesh::expire_leases(link.clone()));
         tokio::spawn(steer::receive_packets(
             steering.clone(),
-            adapter.codec,
+            codec,
             packet_socket,
+            link.clone(),
         ));
-        tokio::spawn(steer::check_openings(steering.clone()));
+        tokio::spawn(steer::check_openings(steering.clone(), link.clone()));
         tokio::spawn(steer::refresh_counts(steering.clone()));
         tokio::spawn(update_gauges(steering.clone(), catalog, link.clone()));
         Ok(Self {
@@ -242,6 +255,12 @@
         let evacuated = catalog.evacuations().ordered().len();
         gauge!("ragwortbeam_evacuated_data_centres").set(evacuated as f64);
         gauge!("ragwortbeam_flows").set(steering.flow_count() as f64);
+        gauge!("ragwortbeam_pending_claims").set(steering.pending_claims() as f64);
+        let allocator = link.allocator.lock().unwrap();
+        gauge!("ragwortbeam_waiting_claims").set(allocator.waiting_claims() as f64);
+        let paced = allocator.ledger().paced_endpoints();
+        gauge!("ragwortbeam_paced_endpoints").set(paced as f64);
+        drop(allocator);
         gauge!("ragwortbeam_vms").set(link.members.lock().unwrap().local_vm_count(now) as f64);
     }
 }
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -308,9 +308,9 @@
             if present_ids.is_some() {
                 let ordered = update.evacuation_updates.into_iter();
                 let ordered = ordered.map(|order| (order.data_centre, order.revision));
-                catalog.replace_evacuations(Evacuations::new(update.revision, ordered));
+                catalog.replace_evacuations(Evacuations::new(update.revision, ordered), now);
             } else {
-                catalog.apply_evacuations(update.evacuation_updates, update.revision);
+                catalog.apply_evacuations(update.evacuation_updates, update.revision, now);
             }
             for entry_update in update.entry_updates {
                 catalog.apply_update(entry_update, now, hold);
--- a/crates/steering/src/reset.rs
+++ b/crates/steering/src/reset.rs
@@ -24,6 +24,8 @@
     NoRoute,
     /// No endpoint of the service accepts new flows.
     NoEndpoint,
+    /// The service is so loaded that the flow would not get a slot in time.
+    Overloaded,
     /// The endpoint's entry was removed and the endpoint no longer answers.
     EndpointGone,
 }
@@ -34,6 +36,7 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NoEndpoint => "no_endpoint",
+            Self::Overloaded => "overloaded",
             Self::EndpointGone => "endpoint_gone",
         }
     }
--- a/crates/steering/src/settings.rs
+++ b/crates/steering/src/settings.rs
@@ -10,6 +10,11 @@
 
 use crate::errors::{Error, Result};
 use crate::generated::ragwortbeam::steering::settings::v1 as document;
+use crate::placement::WarmupLimit;
+
+/// Default of `allocation_min_vms`: with fewer VMs, each sees so many of the flows that its own
+/// counts and its reports are fresh enough.
+const DEFAULT_ALLOCATION_MIN_VMS: u32 = 12;
 
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +46,11 @@
     /// Maximum lifetime of a flow; endpoints that have been gone for longer are dropped from the
     /// catalog.
     pub flow_lifetime: Duration,
+    /// Number of live VMs of a data centre from which they place flows through allocators; 0
+    /// switches allocators off but for services with a warm-up limit.
+    pub allocation_min_vms: u32,
+    /// Limit for endpoints that warm up, beside the rates in the configuration.
+    pub warmup_limit: WarmupLimit,
     /// Relative capacity of the VM, at least 1: bandwidth of its link in Mbit/s times its share of
     /// a core in percent. VMs with a higher weight are preferred as hubs and readers.
     pub weight: u32,
@@ -85,6 +95,7 @@
         };
         let link_mbps = self.positive_number("link_mbps", document.link_mbps)?;
         let cpu_share = self.positive_number("cpu_share", document.cpu_share)?;
+        let warmup_limit = self.warmup_limit(&document)?;
         Ok(Settings {
             vm: self.name("vm", document.vm)?,
             data_centre: self.name("data_centre", document.data_centre)?,
@@ -98,10 +109,27 @@
             is_first_start: document.is_first_start,
             stop_timeout: self.seconds("stop_timeout_s", document.stop_timeout_s)?,
             flow_lifetime: self.seconds("flow_lifetime_s", document.flow_lifetime_s)?,
+            allocation_min_vms: document
+                .allocation_min_vms
+                .unwrap_or(DEFAULT_ALLOCATION_MIN_VMS),
+            warmup_limit,
             weight: (link_mbps * cpu_share * 100.0).clamp(1.0, f64::from(u32::MAX)) as u32,
         })
     }
 
+    fn warmup_limit(&self, document: &document::Settings) -> Result<WarmupLimit, ValidationError> {
+        let default = WarmupLimit::default();
+        let overrun = document.warmup_overrun.unwrap_or(default.overrun);
+        let slack = document.warmup_slack.unwrap_or(default.slack);
+        if !(overrun.is_finite() && overrun >= 1.0) {
+            return Err(self.invalid("warmup_overrun", "a number of 1 or more", overrun));
+        }
+        if !(slack.is_finite() && slack >= 0.0) {
+            return Err(self.invalid("warmup_slack", "a number of 0 or more", slack));
+        }
+        Ok(WarmupLimit { overrun, slack })
+    }
+
     fn invalid(&self, field: &str, expected: &str, found: impl Display) -> ValidationError {
         ValidationError::new(self.file, field, expected, found)
     }
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -2,6 +2,7 @@
 //! or discarded.
 
 mod event_log;
+mod leasing;
 mod tasks;
 
 use std::collections::VecDeque;
@@ -13,14 +14,16 @@
 
 use crate::catalog::{EndpointKey, Traffic, address_mask};
 use crate::choice::{self, PlacementRequest};
-use crate::flow::{self, AddressPair, Flow};
+use crate::flow::{self, AddressPair, Flow, Lease};
 use crate::load::EndpointLoads;
 use crate::packet::Packet;
+use crate::placement;
 use crate::prelude::*;
 use crate::reset::{self, Reason};
-use crate::subset::SubsetCache;
+use crate::subset::{Subset, SubsetCache};
 
-pub use tasks::{check_openings, receive_packets, refresh_counts};
+pub use leasing::{Leasing, Resolved};
+pub use tasks::{check_openings, place_claimed, receive_packets, refresh_counts};
 
 /// Time within which the caller's next packet shows that the endpoint answered an opening packet
 /// and accepted the flow: several round trips. Otherwise the endpoint's answer was lost, was a
@@ -73,10 +76,20 @@
     },
     /// The caller gets a packet that resets its flow.
     Reset(Reason),
+    /// The packet is kept until the claim with this number is answered.
+    Pending(u64),
     /// The packet is discarded.
     Discard(DiscardReason),
 }
 
+/// What decisions on packets read and change, locked for one of them.
+struct Tables<'a> {
+    catalog: &'a Catalog,
+    loads: &'a mut EndpointLoads,
+    flows: &'a mut flow::Table,
+    now: Moment,
+}
+
 /// Steering state of a VM, shared by the tasks that receive packets and update load counts.
 pub struct Steering {
     vm_ip: Ipv4Addr,
@@ -88,6 +101,9 @@
     flows: Mutex<flow::Table>,
     /// Opening packets that were forwarded, oldest first, until [`OPENING_TIMEOUT`].
     pending_openings: Mutex<VecDeque<(AddressPair, Moment)>>,
+    /// Claims of this VM; `None` for a VM that places all flows by itself.
+    leasing: Mutex<Option<Leasing>>,
+    pending_claims: AtomicU64,
     last_packet_ms: AtomicU64,
 }
 
@@ -110,10 +126,22 @@
             subsets,
             flows: Mutex::default(),
             pending_openings: Mutex::default(),
+            leasing: Mutex::default(),
+            pending_claims: AtomicU64::new(0),
             last_packet_ms: AtomicU64::new(0),
         }
     }
 
+    /// Places flows through allocators from now on, where there are enough VMs.
+    pub fn set_leasing(&self, leasing: Leasing) {
+        *self.leasing.lock().unwrap() = Some(leasing);
+    }
+
+    /// Returns the number of claims that were pending lately.
+    pub fn pending_claims(&self) -> u64 {
+        self.pending_claims.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of flows in the flow table, which has those with recent packets here.
     pub fn flow_count(&self) -> usize {
         self.flows.lock().unwrap().len()
@@ -133,13 +161,25 @@
     pub fn decide(&self, packet: &Packet, now: Moment) -> Outcome {
         self.last_packet_ms
             .store(clock::monotonic_ms(), Ordering::Relaxed);
+        self.with_tables(now, |tables| {
+            if packet.flags.opens {
+                self.steer_opening(packet, tables)
+            } else {
+                self.steer_established(packet, tables)
+            }
+        })
+    }
+
+    fn with_tables<T>(&self, now: Moment, action: impl FnOnce(&mut Tables<'_>) -> T) -> T {
         let catalog = self.catalog.lock().unwrap();
-        let mut endpoint_loads = self.endpoint_loads.lock().unwrap();
+        let mut loads = self.endpoint_loads.lock().unwrap();
         let mut flows = self.flows.lock().unwrap();
-        if packet.flags.opens {
-            return self.steer_opening(packet, &catalog, &mut endpoint_loads, &mut flows, now);
-        }
-        steer_established(packet, &catalog, &mut endpoint_loads, &mut flows, now)
+        action(&mut Tables {
+            catalog: &catalog,
+            loads: &mut loads,
+            flows: &mut flows,
+            now,
+        })
     }
 
     /// Counts opening packets that are unanswered after `OPENING_TIMEOUT` against their endpoints.
@@ -160,6 +200,11 @@
                 continue;
             }
             flow.is_counted_unanswered = true;
+            if flow.lease.is_some() {
+                self.release(flow, placement::Outcome::Unanswered);
+                endpoint_loads.begin_request(flow.endpoint);
+                continue;
+            }
             if endpoint_loads.record_unanswered(flow.endpoint, opened_at, now) {
                 event_log::log_silent_endpoint(&catalog, flow.endpoint, now);
             }
@@ -178,6 +223,8 @@
         };
         flows.expire(idle_timeout, now);
         endpoint_loads.set_counts(&flows.counts(now));
+        endpoint_loads.forget_unanswered(now);
+        self.refresh_leasing(now);
         for key in endpoint_loads.take_silent_by_report(&catalog, now) {
             event_log::log_reported_silence(&catalog, key, now);
         }
@@ -186,46 +233,45 @@
     }
 
     /// Decides on an opening packet: it is forwarded to an endpoint unless no route or endpoint is
-    /// available.
-    fn steer_opening(
-        &self,
-        packet: &Packet,
-        catalog: &Catalog,
-        endpoint_loads: &mut EndpointLoads,
-        flows: &mut flow::Table,
-        now: Moment,
-    ) -> Outcome {
+    /// available, or kept for the answer of an allocator.
+    fn steer_opening(&self, packet: &Packet, tables: &mut Tables<'_>) -> Outcome {
+        let (catalog, now) = (tables.catalog, tables.now);
         let addresses = AddressPair::of(packet);
+        if let Some(number) = self.pending_claim(addresses) {
+            return Outcome::Pending(number);
+        }
         let Some(route) = catalog.route(packet.destination) else {
             if reset::may_reset_unrouted(catalog, now) {
                 return Outcome::Reset(Reason::NoRoute);
             }
             return Outcome::Discard(DiscardReason::CatalogOutdated);
         };
-        let opening_flow = flows.get_mut(addresses).filter(|flow| !flow.is_open());
+        let opening_flow = tables.flows.get_mut(addresses);
+        let opening_flow = opening_flow.filter(|flow| !flow.is_open());
         let mut avoid = [None, None];
-        if let Some(flow) = &opening_flow {
+        if let Some(flow) = opening_flow {
             let is_usable = catalog
                 .endpoint(flow.endpoint)
                 .is_some_and(|endpoint| catalog.is_available(endpoint, now));
             let is_retransmission = packet.acknowledged > flow.retransmissions;
             if is_retransmission
                 && !flow.is_counted_unanswered
-                && endpoint_loads.record_unanswered(flow.endpoint, flow.opened_at, now)
+                && flow.lease.is_none()
+                && tables
+                    .loads
+                    .record_unanswered(flow.endpoint, flow.opened_at, now)
             {
                 event_log::log_silent_endpoint(catalog, flow.endpoint, now);
             }
-            let has_answered =
-                endpoint_loads.answered_within(flow.endpoint, now.since(flow.opened_at), now);
+            let waited = now.since(flow.opened_at);
+            let has_answered = tables.loads.answered_within(flow.endpoint, waited, now);
             // A duplicate from the network goes to the same endpoint, and so does the first
             // retransmission if the endpoint has answered another flow since: probably just the
             // packet or its answer was lost.
             if is_usable && (!is_retransmission || has_answered && flow.previous_endpoint.is_none())
             {
                 let key = flow.endpoint;
-                if let Some(flow) = opening_flow {
-                    flow.retry_opening(key, packet, now);
-                }
+                flow.retry_opening(key, packet, now);
                 self.pending_openings
                     .lock()
                     .unwrap()
@@ -233,86 +279,142 @@
                 return forward(catalog, key, Some(packet.destination));
             }
             avoid = [Some(flow.endpoint), flow.previous_endpoint];
+            self.release(flow, placement::Outcome::Unanswered);
         }
-        let subset = {
-            let mut subsets = self.subsets.lock().unwrap();
-            subsets.get_or_select(self.vm_ip, &self.data_centre, catalog, now)
-        };
-        let mut random = rand::rng();
         let request = PlacementRequest {
             service: route.select_service(flow_hash(addresses)),
             traffic: route.traffic,
             data_centre: &self.data_centre,
             avoid,
         };
-        let Some(key) =
-            choice::choose(&request, &subset, catalog, endpoint_loads, now, &mut random)
-        else {
+        self.begin_claim(packet, &request, tables)
+            .unwrap_or_else(|| self.choose_and_bind(packet, &request, tables))
+    }
+
+    /// Chooses an endpoint by what this VM knows, and binds the flow of an opening packet to it.
+    fn choose_and_bind(
+        &self,
+        packet: &Packet,
+        request: &PlacementRequest<'_>,
+        tables: &mut Tables<'_>,
+    ) -> Outcome {
+        let (catalog, now) = (tables.catalog, tables.now);
+        let subset = self.subset(catalog, now);
+        let mut random = rand::rng();
+        let chosen = choice::choose(request, &subset, catalog, tables.loads, now, &mut random);
+        let Some(key) = chosen else {
             return Outcome::Reset(Reason::NoEndpoint);
         };
-        if endpoint_loads.is_retry_due(key, now) {
-            endpoint_loads.record_retry(key, now);
+        if tables.loads.is_retry_due(key, now) {
+            tables.loads.record_retry(key, now);
         }
-        event_log::log_flow_placed(packet, &request, catalog, endpoint_loads, key, now);
-        event_log::log_evacuation_override(&request, catalog, key);
+        event_log::log_evacuation_override(request, catalog, key);
+        self.bind_flow(packet, request, key, None, tables)
+    }
+
+    /// Binds the flow of an opening packet to an endpoint, to which the packet is forwarded.
+    fn bind_flow(
+        &self,
+        packet: &Packet,
+        request: &PlacementRequest<'_>,
+        key: EndpointKey,
+        lease: Option<Lease>,
+        tables: &mut Tables<'_>,
+    ) -> Outcome {
+        let (catalog, now) = (tables.catalog, tables.now);
+        event_log::log_flow_placed(packet, request, catalog, tables.loads, key, now);
+        let addresses = AddressPair::of(packet);
         self.pending_openings
             .lock()
             .unwrap()
             .push_back((addresses, now));
-        match opening_flow {
-            Some(flow) => flow.retry_opening(key, packet, now),
+        let known = tables.flows.get_mut(addresses);
+        match known.filter(|flow| !flow.is_open()) {
+            Some(flow) => {
+                flow.retry_opening(key, packet, now);
+                flow.lease = lease;
+            }
             None => {
-                flows.insert(addresses, Flow::opening(key, route.traffic, packet, now));
-                endpoint_loads.add_flow(key);
+                let mut flow = Flow::opening(key, request.traffic, packet, now);
+                flow.lease = lease;
+                tables.flows.insert(addresses, flow);
+                tables.loads.add_flow(key, lease.is_some());
             }
         }
         forward(catalog, key, Some(packet.destination))
     }
-}
 
-/// Steers a packet of a flow that is already open.
-fn steer_established(
-    packet: &Packet,
-    catalog: &Catalog,
-    endpoint_loads: &mut EndpointLoads,
-    flows: &mut flow::Table,
-    now: Moment,
-) -> Outcome {
-    // 0 is also the token of an endpoint whose tag equals the mask of the destination.
-    let Some(key) = catalog.by_token(packet.token, packet.destination) else {
-        return Outcome::Discard(match packet.token {
-            0 => DiscardReason::NoFlow,
-            _ => DiscardReason::UnknownToken,
-        });
-    };
-    let addresses = AddressPair::of(packet);
-    let known_flow = flows.get_mut(addresses).filter(|flow| flow.endpoint == key);
-    let observation = match known_flow {
-        Some(flow) => {
-            if !flow.is_open() {
-                let waited = now.since(flow.opened_at);
-                histogram!("ragwortbeam_opening_answer_seconds").record(waited);
+    fn subset(&self, catalog: &Catalog, now: Moment) -> Arc<Subset> {
+        let mut subsets = self.subsets.lock().unwrap();
+        subsets.get_or_select(self.vm_ip, &self.data_centre, catalog, now)
+    }
+
+    /// Steers a packet of a flow that is already open.
+    fn steer_established(&self, packet: &Packet, tables: &mut Tables<'_>) -> Outcome {
+        let (catalog, now) = (tables.catalog, tables.now);
+        // 0 is also the token of an endpoint whose tag equals the mask of the destination.
+        let Some(key) = catalog.by_token(packet.token, packet.destination) else {
+            return Outcome::Discard(match packet.token {
+                0 => DiscardReason::NoFlow,
+                _ => DiscardReason::UnknownToken,
+            });
+        };
+        let addresses = AddressPair::of(packet);
+        let known_flow = tables.flows.get_mut(addresses);
+        let observation = match known_flow.filter(|flow| flow.endpoint == key) {
+            Some(flow) => {
+                if !flow.is_open() {
+                    let waited = now.since(flow.opened_at);
+                    histogram!("ragwortbeam_opening_answer_seconds").record(waited);
+                }
+                let observation = flow.observe(packet, now);
+                self.count_requests(observation, flow, tables.loads);
+                observation
             }
-            flow.observe(packet, now)
+            None => {
+                let traffic = catalog
+                    .route(packet.destination)
+                    .map_or(Traffic::Idempotent, |route| route.traffic);
+                let mut flow = Flow::established(key, traffic, packet, now);
+                let observation = flow.observe(packet, now);
+                self.count_requests(observation, &mut flow, tables.loads);
+                if let Some(mut previous) = tables.flows.insert(addresses, flow) {
+                    self.release(&mut previous, placement::Outcome::Unused);
+                }
+                observation
+            }
+        };
+        if observation.endpoint_answered {
+            tables.loads.record_answer(key, now);
         }
-        None => {
-            let traffic = catalog
-                .route(packet.destination)
-                .map_or(Traffic::Idempotent, |route| route.traffic);
-            let mut flow = Flow::established(key, traffic, packet, now);
-            let observation = flow.observe(packet, now);
-            flows.insert(addresses, flow);
-            observation
+        if observation.is_retransmission && reset::may_reset_open(key, catalog, tables.loads, now) {
+            if let Some(mut flow) = tables.flows.remove(addresses) {
+                self.release(&mut flow, placement::Outcome::Unused);
+            }
+            return Outcome::Reset(Reason::EndpointGone);
         }
-    };
-    if observation.endpoint_answered {
-        endpoint_loads.record_answer(key, now);
+        forward(catalog, key, None)
     }
-    if observation.is_retransmission && reset::may_reset_open(key, catalog, endpoint_loads, now) {
-        flows.remove(addresses);
-        return Outcome::Reset(Reason::EndpointGone);
+
+    /// Applies the begin or end of a request to the counts at once; the next recount would be too
+    /// late for the flows that are placed meanwhile.
+    fn count_requests(
+        &self,
+        observation: flow::Observation,
+        flow: &mut Flow,
+        loads: &mut EndpointLoads,
+    ) {
+        if observation.begins_request {
+            loads.begin_request(flow.endpoint);
+        }
+        if observation.ends_request {
+            if flow.lease.is_some() {
+                self.release(flow, placement::Outcome::Answered);
+            } else {
+                loads.end_request(flow.endpoint);
+            }
+        }
     }
-    forward(catalog, key, None)
 }
 
 /// Returns the decision to forward a packet to the newest instance of an endpoint. An opening
--- a/crates/steering/src/steer/tasks.rs
+++ b/crates/steering/src/steer/tasks.rs
@@ -3,11 +3,13 @@
 use metrics::counter;
 use spdlog::{info, warn};
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::yield_now;
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::{DiscardReason, Outcome, Steering, event_log};
-use crate::packet::Codec;
+use crate::mesh::PeerLink;
+use crate::packet::{Codec, Packet};
 use crate::prelude::*;
 
 /// Size of the receive buffer of a datagram, bytes: more than a header and 1,200 bytes of data.
@@ -19,6 +21,9 @@
 /// Interval at which opening packets are checked for a missing answer.
 const OPENING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which claims are checked for a missing answer.
+const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Interval at which open flows are recounted.
 const RECOUNT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -32,8 +37,9 @@
 /// Receives and steers packets until the process ends.
 pub async fn receive_packets(
     steering: Arc<Steering>,
-    codec: Box<dyn Codec>,
+    codec: Arc<dyn Codec>,
     socket: Arc<UdpSocket>,
+    link: Arc<PeerLink>,
 ) {
     // The first send after binding fails until the runtime has registered the socket as writable.
     if let Err(error) = socket.writable().await {
@@ -44,6 +50,7 @@
     for early_packet in queue_early_packets(&steering, &socket).await {
         handle_datagram(&steering, &*codec, &socket, &early_packet, &mut out);
     }
+    link.dispatch(steering.take_outbox(), Moment::now());
     loop {
         if let Err(error) = socket.readable().await {
             warn!("event=packet_socket_failed error=\"{error}\"");
@@ -57,6 +64,7 @@
                 break;
             };
             handle_datagram(&steering, &*codec, &socket, &datagram[..len], &mut out);
+            link.dispatch(steering.take_outbox(), Moment::now());
         }
         yield_now().await;
     }
@@ -82,17 +90,56 @@
 }
 
 /// Counts unanswered opening packets until the process ends.
-pub async fn check_openings(steering: Arc<Steering>) {
+pub async fn check_openings(steering: Arc<Steering>, link: Arc<PeerLink>) {
     loop {
         sleep(OPENING_CHECK_INTERVAL).await;
-        steering.count_unanswered(Moment::now());
+        let now = Moment::now();
+        steering.count_unanswered(now);
+        link.dispatch(steering.take_outbox(), now);
+    }
+}
+
+/// Sends the opening packets whose claims are answered, or end without an answer, until the process
+/// ends.
+pub async fn place_claimed(
+    steering: Arc<Steering>,
+    codec: Arc<dyn Codec>,
+    socket: Arc<UdpSocket>,
+    link: Arc<PeerLink>,
+) {
+    let (sender, mut answers) = unbounded_channel();
+    link.set_answer_channel(sender);
+    let mut ticks = interval(CLAIM_CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut out = Vec::with_capacity(MAX_DATAGRAM_LEN);
+    loop {
+        let resolved = tokio::select! {
+            answer = answers.recv() => match answer {
+                Some(answer) => Vec::from_iter(steering.apply_answer(answer, Moment::now())),
+                None => return,
+            },
+            _ = ticks.tick() => steering.expire_claims(Moment::now()),
+        };
+        for it in resolved {
+            let outcome = it.outcome;
+            act(
+                &steering,
+                &*codec,
+                &socket,
+                &it.packet,
+                &it.datagram,
+                outcome,
+                &mut out,
+            );
+        }
+        link.dispatch(steering.take_outbox(), Moment::now());
     }
 }
 
 /// Refreshes the flow counts until the process ends.
 pub async fn refresh_counts(steering: Arc<Steering>) {
-    let mut ticks = tokio::time::interval(RECOUNT_INTERVAL);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut ticks = interval(RECOUNT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         steering.refresh_counts(Moment::now());
@@ -111,6 +158,19 @@
         return;
     };
     let outcome = steering.decide(&packet, Moment::now());
+    act(steering, codec, socket, &packet, datagram, outcome, out);
+}
+
+/// Carries out the decision on a packet.
+fn act(
+    steering: &Steering,
+    codec: &dyn Codec,
+    socket: &UdpSocket,
+    packet: &Packet,
+    datagram: &[u8],
+    outcome: Outcome,
+    out: &mut Vec<u8>,
+) {
     let address = match outcome {
         Outcome::Forward {
             endpoint,
@@ -122,15 +182,19 @@
             address
         }
         Outcome::Reset(reason) => {
-            codec.reset(&packet, out);
+            codec.reset(packet, out);
             counter!("ragwortbeam_flows_reset_total", "reason" => reason.label()).increment(1);
-            event_log::log_rejected_packet("flow_reset", &packet, reason.label(), steering);
+            event_log::log_rejected_packet("flow_reset", packet, reason.label(), steering);
             let port = socket.local_addr().map_or(0, |address| address.port());
             SocketAddrV4::new(*packet.caller.ip(), port)
         }
+        Outcome::Pending(number) => {
+            steering.keep(number, packet, datagram);
+            return;
+        }
         Outcome::Discard(reason) => {
             count_discard(reason);
-            event_log::log_rejected_packet("packet_discarded", &packet, reason.label(), steering);
+            event_log::log_rejected_packet("packet_discarded", packet, reason.label(), steering);
             return;
         }
     };
--- a/crates/steering/src/subset.rs
+++ b/crates/steering/src/subset.rs
@@ -61,7 +61,7 @@
         }
         let size = (MAX_TOTAL / services.len().max(1)).clamp(MIN_PER_SERVICE, MAX_PER_SERVICE);
         let mut subset = Self {
-            revisions: revisions(catalog),
+            revisions: catalog.revisions(),
             valid_until: usable().filter_map(|(_, it)| it.gone_at()).min(),
             ..Self::default()
         };
@@ -93,7 +93,7 @@
 
     /// Returns whether the subset need not be computed again.
     fn is_current(&self, catalog: &Catalog, now: Moment) -> bool {
-        self.revisions == revisions(catalog) && self.valid_until.is_none_or(|end| now < end)
+        self.revisions == catalog.revisions() && self.valid_until.is_none_or(|end| now < end)
     }
 
     /// Returns the endpoints of a service; empty when it has none.
@@ -117,10 +117,6 @@
     }
 }
 
-fn revisions(catalog: &Catalog) -> (u64, u64) {
-    (catalog.revision(), catalog.evacuations().complete_to())
-}
-
 fn rendezvous_hash(vm: Ipv4Addr, tag: u32) -> u64 {
     xxh3_64_with_seed(&tag.to_le_bytes(), u32::from(vm).into())
 }
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -68,6 +69,8 @@
         address,
         traffic,
         targets: targets.collect(),
+        priority: 0,
+        latency_target: Duration::from_millis(400),
     }
 }
 
@@ -80,6 +83,7 @@
             .into_iter()
             .map(|route| (route.address, route))
             .collect(),
+        warmups: HashMap::new(),
     }
 }
 
--- a/crates/steering/tests/evacuation.rs
+++ b/crates/steering/tests/evacuation.rs
@@ -36,7 +36,7 @@
 fn pass_on(from: &Catalog, to: &mut Catalog, revision: u64, now: Moment) {
     let message = from.changed_after(revision, now);
     let view = from.view(now);
-    to.merge_evacuations(&message, view.evacuations_revision);
+    to.merge_evacuations(&message, view.evacuations_revision, now);
 }
 
 #[test]
@@ -79,7 +79,7 @@
     for case in cases {
         let mut catalog = Catalog::default();
         for (updates, revision) in case.batches {
-            catalog.apply_evacuations(updates, revision);
+            catalog.apply_evacuations(updates, revision, at(0));
         }
         assert_eq!(evacuated(&catalog), case.expected, "{}", case.name);
     }
@@ -89,9 +89,9 @@
 fn orders_converge_in_any_order_of_messages() {
     // States of the store at revisions 5, 7 and 9, as three VMs read them.
     let mut states: [Catalog; 3] = Default::default();
-    states[0].apply_evacuations(vec![ordered(DC_A, 5)], 5);
-    states[1].apply_evacuations(vec![ordered(DC_A, 5), ordered(DC_B, 7)], 7);
-    states[2].apply_evacuations(vec![ordered(DC_B, 7)], 9);
+    states[0].apply_evacuations(vec![ordered(DC_A, 5)], 5, at(0));
+    states[1].apply_evacuations(vec![ordered(DC_A, 5), ordered(DC_B, 7)], 7, at(0));
+    states[2].apply_evacuations(vec![ordered(DC_B, 7)], 9, at(0));
     let orders = [
         [0, 1, 2],
         [2, 1, 0],
@@ -113,22 +113,22 @@
 #[test]
 fn a_message_of_a_version_without_orders_ends_none() {
     let mut receiver = Catalog::default();
-    receiver.apply_evacuations(vec![ordered(DC_A, 5)], 5);
+    receiver.apply_evacuations(vec![ordered(DC_A, 5)], 5, at(0));
     // Such a version leaves both fields at their default.
     let message = Catalog::default().changed_after(0, at(0));
-    assert!(!receiver.merge_evacuations(&message, 0));
+    assert!(!receiver.merge_evacuations(&message, 0, at(0)));
     assert_eq!(evacuated(&receiver), [DC_A]);
 }
 
 #[test]
 fn a_full_read_after_lost_history_ends_removed_orders() {
     let mut catalog = Catalog::default();
-    catalog.apply_evacuations(vec![ordered(DC_A, 5)], 5);
+    catalog.apply_evacuations(vec![ordered(DC_A, 5)], 5, at(0));
     let read = Evacuations::new(30, [(DC_B.into(), 21)]);
-    assert!(catalog.replace_evacuations(read));
+    assert!(catalog.replace_evacuations(read, at(0)));
     assert_eq!(evacuated(&catalog), [DC_B]);
     // A full read that began before and arrives late changes nothing.
-    assert!(!catalog.replace_evacuations(Evacuations::new(20, [(DC_A.into(), 5)])));
+    assert!(!catalog.replace_evacuations(Evacuations::new(20, [(DC_A.into(), 5)]), at(0)));
     assert_eq!(evacuated(&catalog), [DC_B]);
 }
 
@@ -207,7 +207,7 @@
             catalog.apply_update(update, at(0), Duration::ZERO);
         }
         let orders = case.evacuated.iter().map(|name| ordered(name, 10));
-        catalog.apply_evacuations(orders.collect(), 10);
+        catalog.apply_evacuations(orders.collect(), 10, at(0));
         let mut endpoint_loads = EndpointLoads::default();
         for id in case.silent {
             let (key, _) = catalog.endpoints().find(|(_, it)| it.id == *id).unwrap();
@@ -229,7 +229,10 @@
     let packet = common::data_packet(2, ledger(), token, 101, 1);
     vm.steering.decide(&packet, at(12));
     let order = vec![ordered(DC_A, 21)];
-    vm.catalog.lock().unwrap().apply_evacuations(order, 21);
+    vm.catalog
+        .lock()
+        .unwrap()
+        .apply_evacuations(order, 21, at(15));
     for retransmissions in [0, 1] {
         let packet = opening_packet(1, ledger(), retransmissions);
         let (id, _) = expect_forwarded(vm.steering.decide(&packet, at(20)));
--- a/crates/steering/tests/mesh.rs
+++ b/crates/steering/tests/mesh.rs
@@ -21,6 +21,7 @@
         weight,
         age_ms: 0,
         is_leaving: false,
+        is_allocator: true,
     }
 }
 
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -17,6 +17,7 @@
 use ragwortbeam_steering::load::EndpointLoads;
 use ragwortbeam_steering::mesh::{self, MembershipTable, PeerLink};
 use ragwortbeam_steering::message::{Digest, Frame, Member, View, frame};
+use ragwortbeam_steering::placement::WarmupLimit;
 use ragwortbeam_steering::reader::{Reader, max_backoff, startup_delay};
 use ragwortbeam_steering::settings::Settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -165,6 +166,8 @@
         stop_timeout: Duration::from_secs(6),
         flow_lifetime: Duration::from_secs(60),
         weight: 100,
+        allocation_min_vms: 12,
+        warmup_limit: WarmupLimit::default(),
     }
 }
 
--- a/crates/steering/tests/rotation.rs
+++ b/crates/steering/tests/rotation.rs
@@ -231,6 +231,7 @@
         weight: 100,
         age_ms: 0,
         is_leaving: false,
+        is_allocator: true,
     }
 }
 
--- a/crates/steering/tests/settings.rs
+++ b/crates/steering/tests/settings.rs
@@ -23,6 +23,8 @@
     assert_eq!(settings.stop_timeout, Duration::from_secs(6));
     assert_eq!(settings.weight, 11_900);
     assert_eq!(settings.advertised_ip, Ipv4Addr::new(10, 1, 0, 1));
+    assert_eq!(settings.allocation_min_vms, 12);
+    assert_eq!(settings.warmup_limit.openings(10.0), 5);
     let text = VALID.replace("\"vm\"", "\"advertised_ip\": \"192.0.2.1\", \"vm\"");
     let settings = parse("s.json", &text).unwrap();
     assert_eq!(settings.advertised_ip, Ipv4Addr::new(192, 0, 2, 1));
@@ -51,6 +53,16 @@
             to: "10.2.0.40:0",
             error: expect!["s.json: seeds[1]: expected a port in 1..=65535, found 0"],
         },
+        Case {
+            from: "\"vm-1\"",
+            to: "\"vm-1\", \"warmup_overrun\": 0.5",
+            error: expect!["s.json: warmup_overrun: expected a number of 1 or more, found 0.5"],
+        },
+        Case {
+            from: "\"vm-1\"",
+            to: "\"vm-1\", \"warmup_slack\": -1",
+            error: expect!["s.json: warmup_slack: expected a number of 0 or more, found -1"],
+        },
         Case {
             from: "\"cpu_share\": 0.17",
             to: "\"cpu_share\": 0",
@@ -72,7 +84,7 @@
             from: "\"vm\"",
             to: "\"name\"",
             error: expect![
-                "s.json: name: expected a document as docs/OPERATIONS.md describes, found unknown field `name`, expected one of `vm`, `data_centre`, `packet_address`, `ready_address`, `peer_address`, `metrics_address`, `platform_address`, `seeds`, `is_first_start`, `stop_timeout_s`, `flow_lifetime_s`, `link_mbps`, `cpu_share`, `advertised_ip` at line 2 column 8"
+                "s.json: name: expected a document as docs/OPERATIONS.md describes, found unknown field `name`, expected one of `vm`, `data_centre`, `packet_address`, `ready_address`, `peer_address`, `metrics_address`, `platform_address`, `seeds`, `is_first_start`, `stop_timeout_s`, `flow_lifetime_s`, `link_mbps`, `cpu_share`, `advertised_ip`, `allocation_min_vms`, `warmup_overrun`, `warmup_slack` at line 2 column 8"
             ],
         },
     ];
