Allocators in proportion to capacity; little is spilled to other data centres

Change: rank by capacity, shards of 8 endpoints, messages to one VM in one frame, spill only to data centres with less than one request a slot, drawn by free slots.

--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -5,6 +5,8 @@
 //! part decides between endpoints of similar cost, so that VMs with the same report do not all
 //! choose the same endpoint.
 
+use std::collections::HashMap;
+
 use rand::{Rng, RngExt};
 
 use crate::catalog::{EndpointKey, Traffic};
@@ -73,9 +75,10 @@
     pub avoid: [Option<EndpointKey>; 2],
 }
 
-/// Requests for each slot from which an endpoint of another data centre gets no flows that this
-/// one has no room for: the counts of other data centres are old.
-const SPILL_PER_SLOT: u32 = 2;
+/// Mean requests for each slot from which a data centre gets no flows that this one has no room
+/// for: the counts of other data centres are old, and a flow that finds no room there either has
+/// lost its time.
+const MAX_SPILL_LOAD: f64 = 1.0;
 
 /// Returns the load of an open flow, in outstanding requests.
 pub fn open_weight(traffic: Traffic) -> f64 {
@@ -84,6 +87,8 @@
 
 /// Returns an endpoint with room in another data centre, for a new flow that this one has no room
 /// for; `None` when there is none.
+///
+/// Endpoints are drawn in proportion to their free slots, as all VMs see the same old counts.
 pub fn spill(
     request: &PlacementRequest<'_>,
     subset: &Subset,
@@ -94,29 +99,39 @@
 ) -> Option<EndpointKey> {
     let in_subset = subset.endpoints_of(request.service).iter();
     let in_subset = in_subset.filter_map(|key| Some((*key, catalog.endpoint(*key)?)));
-    let has_room = |key: EndpointKey, endpoint: &Endpoint| {
-        let local = endpoint_loads.local_load(key);
-        let elsewhere = endpoint_loads.reported_load(endpoint, now).busy;
-        local.busy + local.leased + elsewhere < endpoint.entry.slots * SPILL_PER_SLOT
-    };
-    let candidates = in_subset.filter(|(key, endpoint)| {
+    let usable = in_subset.filter(|(key, endpoint)| {
         *endpoint.entry.data_centre != *request.data_centre
             && catalog.is_available(endpoint, now)
             && catalog.warmup_rate(endpoint, now).is_none()
             && !catalog.is_ambiguous(*key)
             && !request.avoid.contains(&Some(*key))
             && !endpoint_loads.is_silent(*key, endpoint, now)
-            && has_room(*key, endpoint)
     });
-    let costed = candidates.map(|(key, endpoint)| {
-        let jitter = random.random_range(0.0..MAX_JITTER);
-        (
-            key,
-            cost(request, key, endpoint, endpoint_loads, now) + jitter,
-        )
+    let mut loads: HashMap<&str, (u32, u32)> = HashMap::new();
+    let mut candidates: Vec<(EndpointKey, &str, u32)> = Vec::new();
+    for (key, endpoint) in usable {
+        let local = endpoint_loads.local_load(key);
+        let elsewhere = endpoint_loads.reported_load(endpoint, now).busy;
+        let busy = local.busy + local.leased + elsewhere;
+        let slots = endpoint.entry.slots;
+        let load = loads.entry(&endpoint.entry.data_centre).or_default();
+        load.0 += busy;
+        load.1 += slots;
+        let data_centre = &*endpoint.entry.data_centre;
+        candidates.push((key, data_centre, slots.saturating_sub(busy)));
+    }
+    candidates.retain(|(_, data_centre, free)| {
+        let (busy, slots) = loads[data_centre];
+        *free > 0 && f64::from(busy) < f64::from(slots) * MAX_SPILL_LOAD
+    });
+    let total: u32 = candidates.iter().map(|it| it.2).sum();
+    let mut remainder = random.random_range(0..total.max(1));
+    let drawn = candidates.iter().find(|(_, _, free)| {
+        let is_drawn = remainder < *free;
+        remainder = remainder.saturating_sub(*free);
+        is_drawn
     });
-    let cheapest = costed.min_by(|left, right| left.1.total_cmp(&right.1));
-    cheapest.map(|(key, _)| key)
+    drawn.map(|(key, _, _)| *key)
 }
 
 /// Returns the endpoint for a new flow; `None` when the service has none that accepts flows.
--- a/crates/steering/src/mesh/members.rs
+++ b/crates/steering/src/mesh/members.rs
@@ -410,12 +410,12 @@
 }
 
 /// Returns the score of a VM as the allocator of a shard; the lowest ranks first. A VM is the
-/// allocator of shards in proportion to the geometric mean of its link and its processor.
+/// allocator of shards in proportion to its capacity.
 fn allocator_score(shard: u64, ip: Ipv4Addr, weight: u32) -> f64 {
     let hash = xxh3_64_with_seed(&ip.octets(), shard);
     // A uniform number above 0 and up to 1.
     let uniform = ((hash >> 11) + 1) as f64 / (1_u64 << 53) as f64;
-    -uniform.ln() / f64::from(weight.max(1)).sqrt()
+    -uniform.ln() / f64::from(weight.max(1))
 }
 
 /// Returns the sort key of a VM in hub order: higher weights come first, and a hash of the
--- a/crates/steering/src/mesh/placement.rs
+++ b/crates/steering/src/mesh/placement.rs
@@ -1,5 +1,6 @@
 //! Messages about slots between claiming VMs and allocators.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
 use tokio::sync::mpsc::UnboundedSender;
@@ -33,18 +34,22 @@
         *self.answers.lock().unwrap() = Some(channel);
     }
 
-    /// Sends messages about slots; those to this VM itself are handled at once.
+    /// Sends messages about slots, those for one VM in one frame; those to this VM itself are
+    /// handled at once.
     pub fn dispatch(&self, dispatches: Vec<Dispatch>, now: Moment) {
         if dispatches.is_empty() {
             return;
         }
         let own_ip = self.members.lock().unwrap().ip();
+        let mut placements: BTreeMap<Ipv4Addr, message::Placement> = BTreeMap::new();
         for Dispatch { to, message } in dispatches {
             if to == own_ip {
                 self.handle_message(own_ip, message, now);
-                continue;
+            } else {
+                add_to_wire(placements.entry(to).or_default(), message);
             }
-            let placement = to_wire(message);
+        }
+        for (to, placement) in placements {
             let frame = self.build_frame(frame::Body::Placement(placement), now);
             self.send(to, &frame);
         }
@@ -58,9 +63,10 @@
         placement: &message::Placement,
         now: Moment,
     ) {
-        for message in from_wire(from, placement) {
-            self.handle_message(from, message, now);
-        }
+        let messages = from_wire(from, placement).into_iter();
+        let replies = messages.flat_map(|message| self.apply(from, message, now));
+        let replies = replies.collect();
+        self.reply(replies, now);
     }
 
     /// Denies the claims that wait here; further ones are denied too.
@@ -70,7 +76,13 @@
     }
 
     fn handle_message(&self, from: Ipv4Addr, message: Message, now: Moment) {
-        let replies = match message {
+        let replies = self.apply(from, message, now);
+        self.reply(replies, now);
+    }
+
+    /// Applies a message; returns the answers to claims that it leads to.
+    fn apply(&self, from: Ipv4Addr, message: Message, now: Moment) -> Vec<Reply> {
+        match message {
             Message::Claim(claim) => self.with_allocator(|allocator, knowledge| {
                 vec![allocator.claim(claim, knowledge, now)]
             }),
@@ -89,10 +101,9 @@
                         answer,
                     });
                 }
-                return;
+                Vec::new()
             }
-        };
-        self.reply(replies, now);
+        }
     }
 
     fn with_allocator<T>(
@@ -128,8 +139,7 @@
     }
 }
 
-fn to_wire(message: Message) -> message::Placement {
-    let mut placement = message::Placement::default();
+fn add_to_wire(placement: &mut message::Placement, message: Message) {
     match message {
         Message::Claim(claim) => placement.claims.push(message::Claim {
             number: claim.id.number,
@@ -165,7 +175,6 @@
             },
         }),
     }
-    placement
 }
 
 fn from_wire(from: Ipv4Addr, placement: &message::Placement) -> Vec<Message> {
--- a/crates/steering/src/placement/shard.rs
+++ b/crates/steering/src/placement/shard.rs
@@ -10,7 +10,7 @@
 
 /// Mean number of endpoints of a shard. Enough for their queues to even out; few enough for the
 /// openings of one shard to be a small part of a VM's work.
-const MEAN_ENDPOINTS: usize = 16;
+const MEAN_ENDPOINTS: usize = 8;
 
 /// Endpoints whose requests one allocator counts.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/steering/src/steer/tasks.rs
+++ b/crates/steering/src/steer/tasks.rs
@@ -64,8 +64,8 @@
                 break;
             };
             handle_datagram(&steering, &*codec, &socket, &datagram[..len], &mut out);
-            link.dispatch(steering.take_outbox(), Moment::now());
         }
+        link.dispatch(steering.take_outbox(), Moment::now());
         yield_now().await;
     }
 }
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -729,7 +729,7 @@
     }
     let map = ShardMap::split(DC_A, &world.catalog, at(0));
     let shards = map.of_service("ledger");
-    assert_eq!(shards.len(), 8);
+    assert_eq!(shards.len(), 16);
     let endpoints: usize = shards.iter().map(|it| it.endpoints.len()).sum();
     assert_eq!(endpoints, 100);
     assert_eq!(shards.iter().map(|it| it.slots).sum::<u32>(), 200);
