The soak orders evacuations and limits endpoints that warm up

Cause: the soak knew neither part. Change: each burst may order or end the evacuation of a data centre, with random numbers of its own; endpoints of one service have a warm-up limit; VMs place through allocators. Two checks, each shown to fail by a case.

--- a/crates/testbed/src/soak/endpoint.rs
+++ b/crates/testbed/src/soak/endpoint.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for endpoints, which register in the store and respond to callers directly, not
 //! through a VM.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -21,6 +21,21 @@
 /// Execution time of a request; retransmissions of it are answered at once.
 const REQUEST_DURATION: Duration = Duration::from_millis(8);
 
+/// Duration of the warm-up of an endpoint of `ledger`.
+pub(crate) const WARMUP_TIME: Duration = Duration::from_secs(2);
+
+/// Requests a second that such an endpoint bears meanwhile.
+pub(crate) const WARMUP_RATE_PER_S: f64 = 2.0;
+
+/// Factor for that rate in the VMs' settings.
+pub(crate) const WARMUP_OVERRUN: f64 = 1.5;
+
+/// Requests a second beyond the multiplied rate in the VMs' settings.
+pub(crate) const WARMUP_SLACK: f64 = 1.0;
+
+/// Most flows that the endpoint may get in any second.
+const MAX_WARMUP_OPENINGS: usize = (WARMUP_RATE_PER_S * WARMUP_OVERRUN + WARMUP_SLACK) as usize;
+
 /// Time from an endpoint's start until VMs have to know it, and from its last packet fault
 /// until VMs must not reset its flows.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -99,6 +114,41 @@
     endpoints: Arc<Mutex<HashMap<u8, Endpoint>>>,
 }
 
+impl EndpointTask {
+    /// Checks a new flow against the evacuation of the data centre and the limit for endpoints that
+    /// warm up; `openings` has the times of the flows of the last second.
+    fn check_new_flow(&self, openings: &mut VecDeque<Instant>) {
+        let now = Instant::now();
+        openings.push_back(now);
+        while openings
+            .front()
+            .is_some_and(|at| now - *at >= Duration::from_secs(1))
+        {
+            openings.pop_front();
+        }
+        let endpoints = self.endpoints.lock().unwrap();
+        let is_warming_up = endpoints
+            .get(&self.number)
+            .is_some_and(|it| it.id == self.id && it.started_at.elapsed() < WARMUP_TIME);
+        if self.service_name == "ledger" && is_warming_up {
+            self.checker
+                .check_warmup(self.id, openings.len(), MAX_WARMUP_OPENINGS);
+        }
+        let data_centre = vms::data_centre(self.number);
+        let elsewhere = endpoints.iter().filter(|(number, endpoint)| {
+            endpoint.service == self.service_name
+                && !endpoint.is_draining
+                && endpoint.packet_fault == PacketFault::None
+                && endpoint.started_at.elapsed() > SETTLING_TIME
+                && !self.checker.is_evacuated(vms::data_centre(**number))
+        });
+        let has_endpoint_elsewhere = elsewhere.count() > 0;
+        drop(endpoints);
+        self.checker
+            .check_evacuation(data_centre, self.id, has_endpoint_elsewhere);
+    }
+}
+
 impl EndpointPool {
     pub(crate) fn new(subnet: u8, store: Arc<Store>, checker: Arc<GuaranteeChecker>) -> Self {
         Self {
@@ -282,6 +332,9 @@
             slots: 3,
             is_draining: endpoint.is_draining,
             born_ms: 5,
+            warmup_left_ms: WARMUP_TIME
+                .saturating_sub(endpoint.started_at.elapsed())
+                .as_millis() as u64,
         });
         if !endpoint.is_draining {
             self.checker.record_registration(endpoint.id);
@@ -295,6 +348,7 @@
     let mut datagram = [0; 2048];
     // Data of the requests executed on each flow, by the flow's source and destination.
     let mut flows: HashMap<(SocketAddrV4, SocketAddrV4), Vec<Vec<u8>>> = HashMap::new();
+    let mut openings = VecDeque::new();
     loop {
         let Ok((len, _)) = endpoint.socket.recv_from(&mut datagram).await else {
             continue;
@@ -319,7 +373,7 @@
             continue;
         }
         if let Some(packet) = WirePacket::decode(rest) {
-            respond(&endpoint, &packet, &mut flows).await;
+            respond(&endpoint, &packet, &mut flows, &mut openings).await;
         }
     }
 }
@@ -329,6 +383,7 @@
     endpoint: &EndpointTask,
     packet: &WirePacket,
     flows: &mut HashMap<(SocketAddrV4, SocketAddrV4), Vec<Vec<u8>>>,
+    openings: &mut VecDeque<Instant>,
 ) {
     if packet.checksum != CHECKSUM {
         let violation = format!(
@@ -355,6 +410,7 @@
             endpoint
                 .checker
                 .check_opening(destination, endpoint.service_name, endpoint.id);
+            endpoint.check_new_flow(openings);
             Vec::new()
         });
         response.flags = SYN | ACK;
--- a/crates/testbed/src/soak/faults.rs
+++ b/crates/testbed/src/soak/faults.rs
@@ -132,7 +132,11 @@
 ];
 
 /// Injects one burst of faults and waits for recovery, with changes during both.
-pub(crate) async fn run_burst(cluster: &Arc<Cluster>, rng: &mut StdRng) {
+pub(crate) async fn run_burst(
+    cluster: &Arc<Cluster>,
+    rng: &mut StdRng,
+    evacuation_rng: &mut StdRng,
+) {
     let mut fault_tasks = Vec::new();
     for _ in 0..rng.random_range(1..=MAX_BURST_FAULTS) {
         let kind = *FAULT_KINDS.choose(rng).expect("there are kinds of faults");
@@ -146,6 +150,7 @@
         sleep(Duration::from_millis(rng.random_range(50..800))).await;
     }
     apply_random_changes(cluster, rng).await;
+    change_evacuations(cluster, evacuation_rng);
     for task in fault_tasks {
         task.await.expect("a fault does not panic");
     }
@@ -301,6 +306,22 @@
     cluster.endpoints.start(endpoint, service).await
 }
 
+/// Orders the evacuation of a data centre, ends it or leaves it as it is. It has random numbers of
+/// its own, so that the other draws of a seed do not depend on it.
+fn change_evacuations(cluster: &Cluster, rng: &mut StdRng) {
+    for number in [1, 2] {
+        let data_centre = vms::data_centre(number);
+        if rng.random() {
+            let is_evacuated = !cluster.checker.is_evacuated(data_centre);
+            println!(
+                "seed {}: evacuation of {data_centre}: {is_evacuated}",
+                cluster.options.seed
+            );
+            cluster.store.set_evacuated(data_centre, is_evacuated);
+        }
+    }
+}
+
 /// Makes a random number of random changes, with a short pause after each.
 async fn apply_random_changes(cluster: &Arc<Cluster>, rng: &mut StdRng) {
     for _ in 0..rng.random_range(1..=MAX_CHANGES) {
--- a/crates/testbed/src/soak/guarantees.rs
+++ b/crates/testbed/src/soak/guarantees.rs
@@ -35,6 +35,8 @@
     /// Times at which endpoints became draining or lost their entry while the store
     /// responded normally, by endpoint id.
     withdrawn_at: HashMap<u64, Instant>,
+    /// Times at which the evacuation of data centres was ordered.
+    evacuated_at: HashMap<&'static str, Instant>,
     executed_requests: HashSet<u64>,
     /// Time at which each flow ended, and whether it was served.
     flow_results: Vec<(Instant, bool)>,
@@ -122,6 +124,56 @@
         }
     }
 
+    /// Records that the evacuation of a data centre was ordered or ended.
+    pub fn record_evacuation(&self, data_centre: &'static str, is_evacuated: bool) {
+        let mut state = self.state.lock().unwrap();
+        if is_evacuated {
+            state.evacuated_at.insert(data_centre, Instant::now());
+        } else {
+            state.evacuated_at.remove(data_centre);
+        }
+    }
+
+    /// Returns whether the evacuation of a data centre is ordered.
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        state.evacuated_at.contains_key(data_centre)
+    }
+
+    /// Checks that an endpoint accepted a flow while its data centre was not evacuated, unless the
+    /// order is younger than VMs need to apply it, a fault was recent, or the service has no
+    /// endpoint elsewhere.
+    pub fn check_evacuation(
+        &self,
+        data_centre: &str,
+        endpoint_id: u64,
+        has_endpoint_elsewhere: bool,
+    ) {
+        let ordered_for = {
+            let state = self.state.lock().unwrap();
+            let is_settled = state.is_settled(Instant::now());
+            let ordered_at = state.evacuated_at.get(data_centre);
+            ordered_at.filter(|_| is_settled).map(Instant::elapsed)
+        };
+        if let Some(ordered_for) = ordered_for
+            && ordered_for > MAX_APPLY_DELAY + SCHEDULING_SLACK
+            && has_endpoint_elsewhere
+        {
+            self.report_violation(format!(
+                "endpoint {endpoint_id:x} received a flow {ordered_for:?} after the order to evacuate {data_centre}"
+            ));
+        }
+    }
+
+    /// Checks the number of flows that an endpoint accepted in a second of its warm-up.
+    pub fn check_warmup(&self, endpoint_id: u64, openings: usize, limit: usize) {
+        if openings > limit {
+            self.report_violation(format!(
+                "endpoint {endpoint_id:x} received {openings} flows in a second of its warm-up, expected at most {limit}"
+            ));
+        }
+    }
+
     /// Checks that a non-idempotent request is executed for the first time.
     pub fn check_executed_once(&self, request: u64) {
         let is_first = self.state.lock().unwrap().executed_requests.insert(request);
@@ -185,6 +237,12 @@
 }
 
 impl State {
+    /// Returns whether no fault was so recent that time bounds do not hold.
+    fn is_settled(&self, now: Instant) -> bool {
+        self.last_fault_at
+            .is_none_or(|fault| now - fault > FAULT_RECOVERY_TIME + MAX_APPLY_DELAY)
+    }
+
     fn opening_violations(
         &self,
         destination: SocketAddrV4,
@@ -199,10 +257,7 @@
                 "{destination} reached {service}, which no configuration routes it to"
             ));
         }
-        let is_settled = self
-            .last_fault_at
-            .is_none_or(|fault| now - fault > FAULT_RECOVERY_TIME + MAX_APPLY_DELAY);
-        if !is_settled {
+        if !self.is_settled(now) {
             return violations;
         }
         // VMs must have applied all changes that were made before this time.
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -120,8 +120,9 @@
     let callers: Vec<_> = (1..=cluster.options.callers)
         .map(|number| tokio::spawn(caller::run(cluster.clone(), number)))
         .collect();
+    let mut evacuation_rng = StdRng::seed_from_u64(!cluster.options.seed);
     for _ in 0..cluster.options.bursts {
-        faults::run_burst(&cluster, &mut rng).await;
+        faults::run_burst(&cluster, &mut rng, &mut evacuation_rng).await;
     }
     sleep(FINAL_RECOVERY_TIME).await;
     cluster.checker.check_service_recovered();
--- a/crates/testbed/src/soak/store.rs
+++ b/crates/testbed/src/soak/store.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use super::endpoint;
 use super::guarantees::{GuaranteeChecker, Routes};
 
 /// Largest number of items on a page of a range query.
@@ -127,11 +128,27 @@
                 &**service,
             )
         });
-        let value = wire::configuration_value(version, listed);
+        let warmups = [wire::Warmup {
+            service: "ledger",
+            duration_s: endpoint::WARMUP_TIME.as_secs_f64(),
+            rate_per_s: endpoint::WARMUP_RATE_PER_S,
+        }];
+        let value = wire::configuration_value(version, listed, &warmups);
         self.put(CONFIGURATION_KEY, value);
         self.checker.record_configuration(routes.clone());
     }
 
+    /// Orders the evacuation of a data centre or ends it.
+    pub fn set_evacuated(&self, data_centre: &'static str, is_evacuated: bool) {
+        let key = wire::evacuation_key(data_centre);
+        if is_evacuated {
+            self.put(&key, wire::EVACUATION_VALUE);
+        } else {
+            self.remove(&key);
+        }
+        self.checker.record_evacuation(data_centre, is_evacuated);
+    }
+
     fn change(&self, key: &str, value: Option<Vec<u8>>) {
         let mut contents = self.contents.lock().unwrap();
         contents.revision += 1;
--- a/crates/testbed/src/soak/vms.rs
+++ b/crates/testbed/src/soak/vms.rs
@@ -14,9 +14,12 @@
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
-use super::{Cluster, port};
+use super::{Cluster, endpoint, port};
 use crate::proxy::ProxySwitch;
 
+/// Live VMs of a data centre from which flows are placed through allocators.
+const ALLOCATION_MIN_VMS: u32 = 2;
+
 /// Pause between two rounds of readiness checks.
 const READINESS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -78,7 +81,7 @@
             let other = 1 + (number + seed_offset + index) % self.count;
             SocketAddrV4::new(cluster.ip(5, other), port::PEER).to_string()
         };
-        let settings = json!({
+        let mut settings = json!({
             "vm": format!("vm-{number}"),
             "data_centre": data_centre(number),
             "packet_address": address(port::PACKET),
@@ -94,9 +97,19 @@
             "link_mbps": 700.0,
             "cpu_share": 0.17,
         });
+        // Another version may not know the settings of this one.
+        if !self.runs_other_binary(cluster, number) {
+            settings["allocation_min_vms"] = json!(ALLOCATION_MIN_VMS);
+            settings["warmup_overrun"] = json!(endpoint::WARMUP_OVERRUN);
+            settings["warmup_slack"] = json!(endpoint::WARMUP_SLACK);
+        }
         std::fs::write(settings_path(cluster, number), settings.to_string())
     }
 
+    fn runs_other_binary(&self, cluster: &Cluster, number: u8) -> bool {
+        cluster.options.other_binary.is_some() && !number.is_multiple_of(2)
+    }
+
     /// Returns the id of a VM's process; `None` if it is not running.
     pub(crate) fn pid(&self, number: u8) -> Option<u32> {
         self.children.lock().unwrap().get(&number)?.id()
@@ -119,7 +132,7 @@
             .append(true)
             .open(cluster.directory.join(format!("vm-{number}.log")))?;
         let binary = match &cluster.options.other_binary {
-            Some(other) if !number.is_multiple_of(2) => other.clone(),
+            Some(other) if self.runs_other_binary(cluster, number) => other.clone(),
             _ => std::env::current_exe()?,
         };
         let child = Command::new(binary)
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -60,6 +60,20 @@
             },
             message_part: "after its withdrawal",
         },
+        Case {
+            name: "flow to an evacuated data centre",
+            violate: |checker| {
+                checker.record_evacuation("dc-a", true);
+                sleep(Duration::from_millis(3600));
+                checker.check_evacuation("dc-a", 1, true);
+            },
+            message_part: "after the order to evacuate dc-a",
+        },
+        Case {
+            name: "too many flows to an endpoint that warms up",
+            violate: |checker| checker.check_warmup(1, 5, 4),
+            message_part: "in a second of its warm-up",
+        },
         Case {
             name: "flow routed by an outdated configuration",
             violate: |checker| {
