--- a/crates/steering/src/placement/ledger.rs
+++ b/crates/steering/src/placement/ledger.rs
@@ -12,6 +12,7 @@
 use slotmap::SecondaryMap;
 use spdlog::info;
 
+use super::pace::MAX_PER_SLOT;
 use super::{Change, Claim, ClaimId, Denial, Outcome, Pace, Shard};
 use crate::catalog::{EndpointKey, Traffic};
 use crate::choice;
@@ -28,12 +29,30 @@
 /// Service time that is assumed while no endpoint of a shard has a sample.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(30);
 
-/// Divisor of the difference by which a sample moves the service time.
-const SAMPLE_DIVISOR: f64 = 8.0;
+/// Divisors of the difference by which a sample below or above the service time moves it. The end of
+/// a request may be seen late, with the caller's next packet, but never early.
+const SAMPLE_DIVISORS: (f64, f64) = (4.0, 16.0);
+
+/// Multiple of the service time to which longer samples are shortened.
+const MAX_SAMPLE: f64 = 4.0;
+
+/// Divisor of the difference by which the end of a lease moves the share of unobserved ends.
+const UNOBSERVED_DIVISOR: f64 = 64.0;
+
+/// Share of leases without a release above which the counts are useless: packets of one flow then
+/// arrive at many VMs, and the one that has the lease does not see the end.
+const MAX_UNOBSERVED: f64 = 0.5;
+
+/// Number of claims of which one gets a lease while the counts are useless, to notice when they are
+/// not any more.
+const PROBE_EVERY_CLAIMS: u64 = 16;
 
 /// Share of the usual service time below which an endpoint probably fails its requests.
 const SUSPICIOUS_SHARE: f64 = 0.4;
 
+/// Slowness, in multiples of the usual service time, from which an endpoint holds fewer requests.
+const NOTABLE_SLOWNESS: f64 = 2.0;
+
 /// Cost of a request that an endpoint holds without a wait, in service times: of two endpoints with
 /// a free slot, the one with more free slots is chosen.
 const RUNNING_COST: f64 = 0.05;
@@ -105,6 +124,10 @@
     warmup_limit: WarmupLimit,
     leases: HashMap<ClaimId, Lease>,
     accounts: SecondaryMap<EndpointKey, Account>,
+    /// Share of leases that ended without a release.
+    unobserved: f64,
+    /// Number of claims while that share is too large.
+    blind_claims: u64,
 }
 
 /// An endpoint that a claim may be leased, with what the choice depends on.
@@ -113,9 +136,12 @@
     endpoint: &'a Endpoint,
     /// Requests that it holds, leased here or not.
     outstanding: u32,
-    /// Most requests that it may hold.
+    /// Most requests that it may hold by its pace, or by its limit while it warms up.
     limit: u32,
+    /// Most requests that it may hold whatever its pace; 0 when a limit is used up.
+    most: u32,
     is_silent: bool,
+    is_proven: bool,
 }
 
 impl Ledger {
@@ -157,14 +183,20 @@
         if let Some(endpoint) = known.and_then(|key| catalog.endpoint(key)) {
             return Ok(endpoint.tag);
         }
+        if self.unobserved > MAX_UNOBSERVED {
+            self.blind_claims += 1;
+            if !self.blind_claims.is_multiple_of(PROBE_EVERY_CLAIMS) {
+                return Err(Denial::NoEndpoint);
+            }
+        }
         for key in &shard.endpoints {
             self.open_account(*key, catalog, loads, now);
         }
-        let candidates = self.candidates(claim, shard, catalog, loads, now);
+        let usual = self.usual_service_time(shard);
+        let candidates = self.candidates(claim, shard, catalog, loads, usual, now);
         if candidates.is_empty() {
             return Err(Denial::NoEndpoint);
         }
-        let usual = self.usual_service_time(shard);
         let chosen = self
             .cheapest(&candidates, usual, claim.traffic, loads, now)
             .ok_or(Denial::Full)?;
@@ -207,6 +239,7 @@
         let Some(lease) = self.leases.remove(&id) else {
             return;
         };
+        self.unobserved -= self.unobserved / UNOBSERVED_DIVISOR;
         let key = lease.endpoint;
         let Some(account) = self.accounts.get_mut(key) else {
             return;
@@ -236,12 +269,13 @@
 
     /// Ends leases without a release in time and forgets endpoints that are not in use.
     pub fn expire(&mut self, loads: &mut EndpointLoads, now: Moment) {
-        let accounts = &mut self.accounts;
+        let (accounts, unobserved) = (&mut self.accounts, &mut self.unobserved);
         self.leases.retain(|_, lease| {
             if now < lease.expires_at {
                 return true;
             }
             counter!("ragwortbeam_leases_expired_total").increment(1);
+            *unobserved += (1.0 - *unobserved) / UNOBSERVED_DIVISOR;
             if let Some(account) = accounts.get_mut(lease.endpoint) {
                 account.leases -= 1;
                 loads.set_leases(lease.endpoint, account.leases, account.pace.is_silent());
@@ -314,6 +348,7 @@
         shard: &Shard,
         catalog: &'a Catalog,
         loads: &EndpointLoads,
+        usual: Duration,
         now: Moment,
     ) -> Vec<Candidate<'a>> {
         let candidates = shard.endpoints.iter().filter_map(|key| {
@@ -323,14 +358,16 @@
                 return None;
             }
             let elsewhere = loads.local_load(*key).busy + loads.reported_load(endpoint, now).busy;
-            let mut limit = account.pace.limit(endpoint.entry.slots, now);
+            let slots = endpoint.entry.slots;
+            let mut most = self.most_by_time(*key, slots, usual);
+            let mut limit = account.pace.limit(slots, now).min(most);
             if let Some(rate) = catalog.warmup_rate(endpoint, now) {
                 let openings = account.openings.iter();
                 let recent = openings
                     .filter(|at| now.since(**at) < WARMUP_WINDOW)
                     .count();
                 if recent >= self.warmup_limit.openings(rate) {
-                    limit = 0;
+                    (limit, most) = (0, 0);
                 }
             }
             Some(Candidate {
@@ -338,7 +375,9 @@
                 endpoint,
                 outstanding: account.leases + elsewhere,
                 limit,
+                most,
                 is_silent: account.pace.is_silent(),
+                is_proven: account.pace.is_proven(),
             })
         });
         candidates.collect()
@@ -346,7 +385,8 @@
 
     /// Returns the candidate with the earliest expected end of a further request; `None` when none
     /// has room. When most candidates are silent, the fault is probably not theirs, and they get
-    /// as many requests as they have slots.
+    /// as many requests as they have slots. When most are without their full pace, there are none
+    /// to spare them, and the paces do not count.
     fn cheapest<'a, 'b>(
         &self,
         candidates: &'b [Candidate<'a>],
@@ -357,13 +397,15 @@
     ) -> Option<&'b Candidate<'a>> {
         let silent_count = candidates.iter().filter(|it| it.is_silent).count();
         let uses_silent = silent_count * 2 > candidates.len();
+        let paced_count = candidates.iter().filter(|it| !it.is_proven).count();
+        let ignores_pace = paced_count * 2 > candidates.len();
         let has_room = |it: &&Candidate<'_>| {
-            let spare = if uses_silent && it.is_silent && !it.is_limited(now) {
-                it.endpoint.entry.slots
-            } else {
-                0
+            let limit = match (it.is_silent, uses_silent, ignores_pace) {
+                (true, true, _) => it.endpoint.entry.slots.min(it.most),
+                (false, _, true) => it.most,
+                _ => it.limit,
             };
-            it.outstanding < it.limit.max(spare)
+            it.outstanding < limit
         };
         let mut random = rand::rng();
         let costed = candidates.iter().filter(has_room).map(|it| {
@@ -379,6 +421,17 @@
         cheapest.map(|(candidate, _)| candidate)
     }
 
+    /// Returns the most requests that an endpoint may hold: a slow one holds fewer, so that those
+    /// that wait there end about as soon as elsewhere.
+    fn most_by_time(&self, key: EndpointKey, slots: u32, usual: Duration) -> u32 {
+        let full = slots * MAX_PER_SLOT;
+        let slowness = self.slowness(key, usual);
+        if slowness < NOTABLE_SLOWNESS {
+            return full;
+        }
+        ((f64::from(full) / slowness) as u32).max(1)
+    }
+
     /// Returns the factor for the cost of an endpoint whose service time differs from the usual
     /// one.
     fn slowness(&self, key: EndpointKey, usual: Duration) -> f64 {
@@ -395,20 +448,16 @@
     }
 }
 
-impl Candidate<'_> {
-    /// Returns whether the endpoint is warming up, so that a limit may hold for it.
-    fn is_limited(&self, now: Moment) -> bool {
-        self.endpoint.is_warming_up(now)
-    }
-}
-
 impl Account {
     fn add_sample(&mut self, taken: Duration, now: Moment) {
         let mean = match self.service_time {
             None => taken,
             Some((mean, _)) => {
-                let step = (taken.as_secs_f64() - mean.as_secs_f64()) / SAMPLE_DIVISOR;
-                Duration::from_secs_f64((mean.as_secs_f64() + step).max(0.0))
+                let taken = taken.min(mean.mul_f64(MAX_SAMPLE)).as_secs_f64();
+                let difference = taken - mean.as_secs_f64();
+                let (below, above) = SAMPLE_DIVISORS;
+                let divisor = if difference < 0.0 { below } else { above };
+                Duration::from_secs_f64((mean.as_secs_f64() + difference / divisor).max(0.0))
             }
         };
         self.service_time = Some((mean, now));
@@ -440,10 +489,7 @@
         Change::Silenced => ("endpoint_silenced", 0),
         Change::Recovered => ("pace_began", 1),
         Change::Cut(limit) => ("pace_cut", limit),
-        Change::Reached => (
-            "pace_reached",
-            endpoint.entry.slots * super::pace::MAX_PER_SLOT,
-        ),
+        Change::Reached => ("pace_reached", endpoint.entry.slots * MAX_PER_SLOT),
     };
     counter!("ragwortbeam_pace_changes_total", "event" => event).increment(1);
     if let Some(suppressed) = PACE_LIMITER.try_acquire() {
