--- a/crates/steering/src/placement/ledger.rs
+++ b/crates/steering/src/placement/ledger.rs
@@ -106,6 +106,7 @@
     service_time: Option<(Duration, Moment)>,
     /// Times of the openings in the last [`WARMUP_WINDOW`]; only of an endpoint with a limit.
     openings: VecDeque<Moment>,
+    opened_at: Moment,
     used_at: Moment,
 }
 
@@ -337,6 +338,7 @@
             pace,
             service_time: None,
             openings: VecDeque::new(),
+            opened_at: now,
             used_at: now,
         };
         self.accounts.insert(key, account);
@@ -351,6 +353,13 @@
         usual: Duration,
         now: Moment,
     ) -> Vec<Candidate<'a>> {
+        // Another VM may have leased endpoints that warm up until this one became the allocator.
+        let accounts = shard
+            .endpoints
+            .iter()
+            .filter_map(|it| self.accounts.get(*it));
+        let opened_at = accounts.map(|it| it.opened_at).min();
+        let is_established = opened_at.is_some_and(|it| now.since(it) >= WARMUP_WINDOW);
         let candidates = shard.endpoints.iter().filter_map(|key| {
             let endpoint = catalog.endpoint(*key)?;
             let account = self.accounts.get(*key)?;
@@ -366,7 +375,7 @@
                 let recent = openings
                     .filter(|at| now.since(**at) < WARMUP_WINDOW)
                     .count();
-                if recent >= self.warmup_limit.openings(rate) {
+                if !is_established || recent >= self.warmup_limit.openings(rate) {
                     (limit, most) = (0, 0);
                 }
             }
--- a/crates/testbed/src/soak/endpoint.rs
+++ b/crates/testbed/src/soak/endpoint.rs
@@ -313,9 +313,14 @@
             .unwrap()
             .is_some_and(|it| it.excuses_refusals());
         let endpoints = self.endpoints.lock().unwrap();
-        let mut available = endpoints.values().filter(|endpoint| {
+        let mut available = endpoints.iter().filter(|(number, endpoint)| {
             let is_known = endpoint.started_at.elapsed() > SETTLING_TIME;
-            endpoint.service == service && !endpoint.is_draining && is_known
+            // After an evacuation, VMs keep the limit for endpoints that warm up.
+            let data_centre = vms::data_centre(**number);
+            let may_warm_up = self
+                .checker
+                .evacuation_ended_within(data_centre, WARMUP_TIME + MAX_REREGISTRATION_DELAY);
+            endpoint.service == service && !endpoint.is_draining && is_known && !may_warm_up
         });
         available.next().is_some() && !is_refusal_excused
     }
--- a/crates/testbed/src/soak/guarantees.rs
+++ b/crates/testbed/src/soak/guarantees.rs
@@ -37,6 +37,8 @@
     withdrawn_at: HashMap<u64, Instant>,
     /// Times at which the evacuation of data centres was ordered.
     evacuated_at: HashMap<&'static str, Instant>,
+    /// Times at which the last evacuation of data centres ended.
+    evacuation_ended_at: HashMap<&'static str, Instant>,
     executed_requests: HashSet<u64>,
     /// Time at which each flow ended, and whether it was served.
     flow_results: Vec<(Instant, bool)>,
@@ -131,6 +133,8 @@
             state.evacuated_at.insert(data_centre, Instant::now());
         } else {
             state.evacuated_at.remove(data_centre);
+            let ended_at = Instant::now();
+            state.evacuation_ended_at.insert(data_centre, ended_at);
         }
     }
 
@@ -140,6 +144,13 @@
         state.evacuated_at.contains_key(data_centre)
     }
 
+    /// Returns whether the evacuation of a data centre ended within `window`.
+    pub fn evacuation_ended_within(&self, data_centre: &str, window: Duration) -> bool {
+        let state = self.state.lock().unwrap();
+        let ended_at = state.evacuation_ended_at.get(data_centre);
+        ended_at.is_some_and(|at| at.elapsed() <= window)
+    }
+
     /// Checks that an endpoint accepted a flow while its data centre was not evacuated, unless the
     /// order is younger than VMs need to apply it, a fault was recent, or the service has no
     /// endpoint elsewhere.
