What an endpoint took while it warmed up does not count afterwards

Change: samples of the warm-up are forgotten with its end. Measured: the test, which gets no flow on the former code.

--- a/crates/steering/src/placement/ledger.rs
+++ b/crates/steering/src/placement/ledger.rs
@@ -317,7 +317,7 @@
         };
         if let Some(account) = self.accounts.get_mut(key) {
             account.used_at = now;
-            account.forget_old(now);
+            account.forget_old(endpoint.warmup_ends_at, now);
             return;
         }
         let pace = if endpoint.is_warming_up(now) || loads.is_silent(key, endpoint, now) {
@@ -472,10 +472,12 @@
         self.service_time = Some((mean, now));
     }
 
-    fn forget_old(&mut self, now: Moment) {
-        self.service_time = self
-            .service_time
-            .filter(|(_, sampled_at)| now.since(*sampled_at) < MEMORY);
+    /// Forgets what is too old, and after the warm-up what was sampled during it.
+    fn forget_old(&mut self, warmup_ends_at: Moment, now: Moment) {
+        self.service_time = self.service_time.filter(|(_, sampled_at)| {
+            let is_recent = now.since(*sampled_at) < MEMORY;
+            is_recent && (now < warmup_ends_at || *sampled_at >= warmup_ends_at)
+        });
         while self
             .openings
             .front()
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -606,6 +606,33 @@
     assert!(served >= 1, "{served}");
 }
 
+/// Load: a quarter of the slots, which other endpoints bear while one warms up slowly.
+#[test]
+fn an_endpoint_is_used_once_its_warm_up_is_over() {
+    let mut world = World::new(2);
+    let mut cold = entry("ledger", 1, DC_A);
+    cold.warmup_left = MS(2000);
+    world
+        .catalog
+        .apply_update(written(1, 90, cold), at(0), Duration::ZERO);
+    world.catalog.advance(90, at(0));
+    let mut counts = [0, 0];
+    for index in 0..100 {
+        let now = at(index * 40);
+        let (id, answer) = world.claim(0, false, now);
+        let is_cold = world.id_of(answer) == Some(1) && index < 50;
+        if world.id_of(answer) == Some(1) {
+            counts[usize::from(index >= 50)] += 1;
+        }
+        world.release(
+            id,
+            Outcome::Answered,
+            now + MS(if is_cold { 50 } else { 30 }),
+        );
+    }
+    assert!(counts[0] < 5 && counts[1] > 10, "{counts:?}");
+}
+
 /// Where the fabric sends packets of one flow to many VMs, the one with the lease does not see the
 /// end of the request.
 #[test]
