Refusals only of fresh packets and with counts that hold; orders hold while others warm up

Change: no reset for a packet kept for over 190 ms or after a pause; leases end after ten times the fastest requests, at least 250 ms, for each round; an order holds while an endpoint elsewhere warms up; the soak's checks follow the traces.

--- a/crates/steering/src/choice.rs
+++ b/crates/steering/src/choice.rs
@@ -153,8 +153,9 @@
         *endpoint.entry.service == *request.service && !catalog.is_ambiguous(*key)
     };
     // Only an allocator can keep the limit of an endpoint that warms up.
+    let is_limited = |it: &(EndpointKey, &Endpoint)| catalog.warmup_rate(it.1, now).is_some();
     let is_usable = |it: &(EndpointKey, &Endpoint)| {
-        is_addressable(it) && it.1.accepts_flows(now) && catalog.warmup_rate(it.1, now).is_none()
+        is_addressable(it) && it.1.accepts_flows(now) && !is_limited(it)
     };
     let is_evacuated =
         |it: &(EndpointKey, &Endpoint)| catalog.evacuations().contains(&it.1.entry.data_centre);
@@ -186,7 +187,13 @@
         candidates = all_that(&|it| is_lapsed(it) && !is_evacuated(it));
     }
     if !catalog.evacuations().is_empty() && candidates.iter().all(|it| it.is_silent) {
-        candidates = all_that(&is_usable);
+        let is_left = |it: &(EndpointKey, &Endpoint)| {
+            is_addressable(it) && it.1.accepts_flows(now) && is_limited(it) && !is_evacuated(it)
+        };
+        // While an endpoint elsewhere warms up, the order leaves one to serve.
+        if !catalog.endpoints().any(|it| is_left(&it)) {
+            candidates = all_that(&is_usable);
+        }
     }
     if candidates.is_empty() {
         candidates = all_that(&is_lapsed);
--- a/crates/steering/src/placement/claims.rs
+++ b/crates/steering/src/placement/claims.rs
@@ -47,6 +47,8 @@
     pub packet: Packet,
     /// The packet as received; empty until [`Claims::keep`].
     pub datagram: Vec<u8>,
+    /// Time at which it was received.
+    pub received_at: Moment,
     /// Name of the service.
     pub service: Arc<str>,
     /// Kind of traffic on the flow.
@@ -176,10 +178,11 @@
 
     /// Keeps the bytes of the opening packet of a pending claim; a later copy replaces an earlier
     /// one.
-    pub fn keep(&mut self, number: u64, packet: &Packet, datagram: &[u8]) {
+    pub fn keep(&mut self, number: u64, packet: &Packet, datagram: &[u8], now: Moment) {
         if let Some(pending) = self.pending.get_mut(&number) {
             pending.opening.packet = *packet;
             pending.opening.datagram = datagram.to_vec();
+            pending.opening.received_at = now;
         }
     }
 
--- a/crates/steering/src/placement/ledger.rs
+++ b/crates/steering/src/placement/ledger.rs
@@ -19,8 +19,16 @@
 use crate::load::EndpointLoads;
 use crate::prelude::*;
 
-/// Time after which a lease ends whose release was lost, or whose flow other VMs carry now.
-const LEASE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Shortest and longest time after which a lease ends whose release was lost, whose flow other VMs
+/// carry now, or whose caller acknowledges the answer only with its next request.
+const LEASE_TIMEOUTS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(5));
+
+/// Time of a lease in multiples of a shard's fastest requests, for each service time that the
+/// request is expected to take. Stragglers take a few times the usual time.
+const LEASE_TIME_FACTOR: u32 = 10;
+
+/// Factor by which each sample lets the time of the fastest requests grow.
+const FASTEST_GROWTH: f64 = 1.02;
 
 /// Time after which a service time without a new sample is forgotten, and an endpoint without
 /// leases with it.
@@ -104,6 +112,8 @@
     pace: Pace,
     /// Mean time of requests that found a free slot, and the time of the last sample.
     service_time: Option<(Duration, Moment)>,
+    /// Time of the fastest requests; it grows slowly while there are slower ones only.
+    fastest: Option<Duration>,
     /// Times of the openings in the last [`WARMUP_WINDOW`]; only of an endpoint with a limit.
     openings: VecDeque<Moment>,
     opened_at: Moment,
@@ -204,6 +214,7 @@
         let (key, tag) = (chosen.key, chosen.endpoint.tag);
         let rounds = rounds(chosen.outstanding, chosen.endpoint.entry.slots);
         let is_limited = catalog.warmup_rate(chosen.endpoint, now).is_some();
+        let lease_timeout = self.lease_timeout(shard, rounds);
         let account = &mut self.accounts[key];
         account.leases += 1;
         account.pace.record_sent(now);
@@ -214,7 +225,7 @@
             endpoint: key,
             granted_at: now,
             rounds,
-            expires_at: now + LEASE_TIMEOUT,
+            expires_at: now + lease_timeout,
         };
         self.leases.insert(claim.id, lease);
         loads.set_leases(key, account.leases, account.pace.is_silent());
@@ -305,6 +316,18 @@
         }
     }
 
+    /// Returns the time after which a lease ends without a release.
+    fn lease_timeout(&self, shard: &Shard, rounds: f64) -> Duration {
+        let accounts = shard
+            .endpoints
+            .iter()
+            .filter_map(|it| self.accounts.get(*it));
+        let fastest = accounts.filter_map(|it| it.fastest).min();
+        let (shortest, longest) = LEASE_TIMEOUTS;
+        let one_round = (fastest.unwrap_or_default() * LEASE_TIME_FACTOR).max(shortest);
+        one_round.mul_f64(rounds).min(longest)
+    }
+
     fn open_account(
         &mut self,
         key: EndpointKey,
@@ -337,6 +360,7 @@
             leases: 0,
             pace,
             service_time: None,
+            fastest: None,
             openings: VecDeque::new(),
             opened_at: now,
             used_at: now,
@@ -470,6 +494,8 @@
             }
         };
         self.service_time = Some((mean, now));
+        let fastest = self.fastest.unwrap_or(taken).mul_f64(FASTEST_GROWTH);
+        self.fastest = Some(fastest.min(taken));
     }
 
     /// Forgets what is too old, and after the warm-up what was sampled during it.
--- a/crates/steering/src/steer/leasing.rs
+++ b/crates/steering/src/steer/leasing.rs
@@ -5,7 +5,7 @@
 
 use metrics::counter;
 
-use super::{Outcome, Steering, Tables};
+use super::{DiscardReason, Outcome, Steering, Tables};
 use crate::catalog::EndpointKey;
 use crate::choice::{self, PlacementRequest};
 use crate::flow::{AddressPair, Flow, Lease};
@@ -26,6 +26,16 @@
 /// Part of the latency target for which an opening may wait; the rest is for the request itself.
 const PATIENCE_DIVISOR: u32 = 2;
 
+/// Longest patience, and the age from which a kept opening packet does not lead to a reset: the
+/// caller's next copy comes after 200 ms, and may have opened the flow through another VM.
+const MAX_PATIENCE: Duration = Duration::from_millis(180);
+
+/// Pause of this process from which packets that it receives may be older than they seem.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after a pause in which such packets are handled.
+const PAUSE_AFTERMATH: Duration = Duration::from_millis(300);
+
 /// Shortest patience, which lets a late copy of an opening packet find a slot that is free.
 const MIN_PATIENCE: Duration = Duration::from_millis(20);
 
@@ -41,6 +51,9 @@
     shards: Arc<ShardMap>,
     /// True while the data centre has `min_vms`.
     has_min_vms: bool,
+    ticked_at: Moment,
+    /// End of the last pause of this process; `None` before the first.
+    resumed_at: Option<Moment>,
 }
 
 impl Leasing {
@@ -53,9 +66,27 @@
             claims: Claims::new(vm),
             shards: Arc::default(),
             has_min_vms: false,
+            ticked_at: Moment::now(),
+            resumed_at: None,
         }
     }
 
+    /// Records that this process runs.
+    pub(super) fn tick(&mut self, now: Moment) {
+        if now.since(self.ticked_at) > PAUSE {
+            self.resumed_at = Some(now);
+        }
+        self.ticked_at = now;
+    }
+
+    /// Returns whether the flow of a kept opening packet cannot be open already.
+    fn may_refuse(&self, opening: &Opening, now: Moment) -> bool {
+        let resumed_at = self.resumed_at;
+        now.since(self.ticked_at) <= PAUSE
+            && resumed_at.is_none_or(|at| now.since(at) > PAUSE_AFTERMATH)
+            && now.since(opening.received_at) <= MAX_PATIENCE + MIN_PATIENCE / 2
+    }
+
     /// Updates whether the data centre has enough VMs for allocators.
     pub(super) fn refresh(&mut self, now: Moment) {
         let vms = self.members.lock().unwrap().local_vm_count(now) as u32;
@@ -94,9 +125,9 @@
 
 impl Steering {
     /// Keeps the bytes of an opening packet with [`Outcome::Pending`].
-    pub fn keep(&self, number: u64, packet: &Packet, datagram: &[u8]) {
+    pub fn keep(&self, number: u64, packet: &Packet, datagram: &[u8], now: Moment) {
         if let Some(leasing) = &mut *self.leasing.lock().unwrap() {
-            leasing.claims.keep(number, packet, datagram);
+            leasing.claims.keep(number, packet, datagram, now);
         }
     }
 
@@ -134,7 +165,7 @@
             let next = leasing
                 .claims
                 .answer(allocator, number, answer, directory)?;
-            self.resolve(next, &mut leasing.claims, directory, tables)
+            self.resolve(next, leasing, directory, tables)
         })
     }
 
@@ -152,9 +183,8 @@
                 allocators: &allocators,
                 now,
             };
-            let claims = &mut leasing.claims;
-            let next = claims.expire(directory).into_iter();
-            next.filter_map(|next| self.resolve(next, claims, directory, tables))
+            let next = leasing.claims.expire(directory).into_iter();
+            next.filter_map(|next| self.resolve(next, leasing, directory, tables))
                 .collect()
         })
     }
@@ -183,6 +213,7 @@
         let opening = Opening {
             packet: *packet,
             datagram: Vec::new(),
+            received_at: now,
             service: request.service.into(),
             traffic: request.traffic,
             priority: route.priority,
@@ -231,7 +262,7 @@
     fn resolve(
         &self,
         next: Next,
-        claims: &mut Claims,
+        leasing: &mut Leasing,
         directory: Directory<'_>,
         tables: &mut Tables<'_>,
     ) -> Option<Resolved> {
@@ -240,19 +271,23 @@
             Next::Leased(opening, tag, allocator, number) => {
                 let lease = Lease { allocator, number };
                 let Some(outcome) = self.bind_leased(&opening, tag, lease, tables) else {
-                    claims.release(allocator, number, placement::Outcome::Unused);
+                    let unused = placement::Outcome::Unused;
+                    leasing.claims.release(allocator, number, unused);
                     return None;
                 };
                 (opening, outcome)
             }
             Next::Spill(opening) => match self.spill(&opening, tables) {
                 Some(outcome) => (opening, outcome),
-                None => match claims.wait(opening, directory) {
+                None => match leasing.claims.wait(opening, directory) {
                     Next::Place(opening) => self.place(opening, tables),
                     _ => return None,
                 },
             },
-            Next::Refuse(opening) => (opening, Outcome::Reset(Reason::Overloaded)),
+            Next::Refuse(opening) if leasing.may_refuse(&opening, directory.now) => {
+                (opening, Outcome::Reset(Reason::Overloaded))
+            }
+            Next::Refuse(opening) => (opening, Outcome::Discard(DiscardReason::HeldTooLong)),
             Next::Place(opening) => self.place(opening, tables),
         };
         Some(Resolved {
@@ -333,7 +368,7 @@
     };
     (target / PATIENCE_DIVISOR)
         .saturating_sub(elapsed)
-        .max(MIN_PATIENCE)
+        .clamp(MIN_PATIENCE, MAX_PATIENCE)
 }
 
 fn allocators_of(members: &Mutex<MembershipTable>, shard: u64, now: Moment) -> Vec<Ipv4Addr> {
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -47,6 +47,9 @@
     CatalogOutdated,
     /// The packet neither opens a flow nor carries a token.
     NoFlow,
+    /// The packet opens a flow for which there is no slot, but was kept for so long that the flow
+    /// may be open through another VM.
+    HeldTooLong,
 }
 
 impl DiscardReason {
@@ -58,6 +61,7 @@
             Self::UnknownToken => "unknown_token",
             Self::CatalogOutdated => "catalog_outdated",
             Self::NoFlow => "no_flow",
+            Self::HeldTooLong => "held_too_long",
         }
     }
 }
@@ -184,6 +188,9 @@
 
     /// Counts opening packets that are unanswered after `OPENING_TIMEOUT` against their endpoints.
     pub fn count_unanswered(&self, now: Moment) {
+        if let Some(leasing) = &mut *self.leasing.lock().unwrap() {
+            leasing.tick(now);
+        }
         let catalog = self.catalog.lock().unwrap();
         let mut endpoint_loads = self.endpoint_loads.lock().unwrap();
         let mut flows = self.flows.lock().unwrap();
--- a/crates/steering/src/steer/tasks.rs
+++ b/crates/steering/src/steer/tasks.rs
@@ -189,7 +189,7 @@
             SocketAddrV4::new(*packet.caller.ip(), port)
         }
         Outcome::Pending(number) => {
-            steering.keep(number, packet, datagram);
+            steering.keep(number, packet, datagram, Moment::now());
             return;
         }
         Outcome::Discard(reason) => {
--- a/crates/steering/tests/evacuation.rs
+++ b/crates/steering/tests/evacuation.rs
@@ -7,7 +7,7 @@
 
 use common::{DC_A, DC_B, Vm, at, entry, expect_forwarded, ledger, opening_packet, written};
 use ragwortbeam_base::clock::Moment;
-use ragwortbeam_steering::catalog::{Catalog, EvacuationUpdate, Evacuations, Traffic};
+use ragwortbeam_steering::catalog::{Catalog, EvacuationUpdate, Evacuations, Traffic, Warmup};
 use ragwortbeam_steering::choice::{PlacementRequest, choose};
 use ragwortbeam_steering::load::EndpointLoads;
 use ragwortbeam_steering::subset::Subset;
@@ -220,6 +220,29 @@
     }
 }
 
+/// Guards against flows to an evacuated data centre while endpoints elsewhere warm up within a limit,
+/// which only allocators keep (soak seed 9214).
+#[test]
+fn endpoints_that_warm_up_elsewhere_keep_the_order_in_force() {
+    let mut catalog = Catalog::default();
+    let mut configuration = common::configuration(5, 1, Vec::new());
+    let warmup = Warmup {
+        duration: Duration::from_secs(2),
+        rate_per_s: 4.0,
+    };
+    configuration.warmups.insert("ledger".into(), warmup);
+    catalog.apply_configuration(configuration);
+    for (id, data_centre, warmup_s) in [(1, DC_A, 0), (2, DC_B, 2)] {
+        let mut entry = entry("ledger", id as u8, data_centre);
+        entry.warmup_left = Duration::from_secs(warmup_s);
+        catalog.apply_update(written(id, 1 + id, entry), at(0), Duration::ZERO);
+    }
+    catalog.apply_evacuations(vec![ordered(DC_A, 10)], 10, at(0));
+    let loads = EndpointLoads::default();
+    assert!(chosen_ids(&catalog, &loads, at(100)).is_empty());
+    assert_eq!(chosen_ids(&catalog, &loads, at(2100)), [2]);
+}
+
 #[test]
 fn a_copy_of_an_opening_packet_leaves_the_data_centre_and_an_open_flow_stays() {
     let vm = Vm::new();
--- a/crates/testbed/src/soak/endpoint.rs
+++ b/crates/testbed/src/soak/endpoint.rs
@@ -141,6 +141,10 @@
                 && endpoint.packet_fault == PacketFault::None
                 && endpoint.started_at.elapsed() > SETTLING_TIME
                 && !self.checker.is_evacuated(vms::data_centre(**number))
+                && !self.checker.evacuation_ended_within(
+                    vms::data_centre(**number),
+                    MAX_REREGISTRATION_DELAY + Duration::from_millis(500),
+                )
         });
         let has_endpoint_elsewhere = elsewhere.count() > 0;
         drop(endpoints);
@@ -313,6 +317,9 @@
             .unwrap()
             .is_some_and(|it| it.excuses_refusals());
         let endpoints = self.endpoints.lock().unwrap();
+        let all_evacuated = [1, 2]
+            .into_iter()
+            .all(|number| self.checker.is_evacuated(vms::data_centre(number)));
         let mut available = endpoints.iter().filter(|(number, endpoint)| {
             let is_known = endpoint.started_at.elapsed() > SETTLING_TIME;
             // After an evacuation, VMs keep the limit for endpoints that warm up.
@@ -320,7 +327,9 @@
             let may_warm_up = self
                 .checker
                 .evacuation_ended_within(data_centre, WARMUP_TIME + MAX_REREGISTRATION_DELAY);
-            endpoint.service == service && !endpoint.is_draining && is_known && !may_warm_up
+            let is_left = all_evacuated || !self.checker.is_evacuated(data_centre);
+            let is_usable = !endpoint.is_draining && is_known && is_left && !may_warm_up;
+            endpoint.service == service && is_usable
         });
         available.next().is_some() && !is_refusal_excused
     }
