Log what a full read returns and what the catalog ignores

Cause: the log could not tell a discarded read from changes that were never read. Change: event=store_read_whole, event=configuration_ignored and a counter of ignored updates.

--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use metrics::counter;
 use ragwortbeam_base::clock::Moment;
 use slotmap::SlotMap;
 use spdlog::info;
@@ -173,6 +174,7 @@
     /// at `at`. A lower revision than the current one is ignored.
     pub fn advance(&mut self, revision: u64, at: Moment) {
         if revision < self.revision {
+            counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "revision").increment(1);
             return;
         }
         self.revision = revision;
@@ -199,6 +201,17 @@
         let is_newer = configuration.revision > current.revision
             && (configuration.version > current.version || current.revision == 0);
         if !is_newer {
+            if configuration.version != current.version {
+                counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "configuration")
+                    .increment(1);
+                info!(
+                    "event=configuration_ignored version={} revision={} version_in_force={} revision_in_force={}",
+                    configuration.version,
+                    configuration.revision,
+                    current.version,
+                    current.revision,
+                );
+            }
             return false;
         }
         info!(
@@ -220,6 +233,10 @@
         let current = self.by_id.get(&update.endpoint).copied();
         let current_revision = current.map_or(0, |key| self.endpoints[key].revision);
         if update.revision <= current_revision {
+            if update.revision < current_revision {
+                counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "endpoint")
+                    .increment(1);
+            }
             return false;
         }
         let change = match update.change {
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -261,6 +261,11 @@
         counter!("ragwortbeam_store_reads_total", "kind" => "all").increment(1);
         let update = self.catalog_source.read_all().await?;
         histogram!("ragwortbeam_store_read_seconds").record(Moment::now().since(sent_at));
+        info!(
+            "event=store_read_whole revision={} version={} catalog_revision={revision}",
+            update.revision,
+            update.configuration.as_ref().map_or(0, |it| it.version)
+        );
         let present_ids = update
             .entry_updates
             .iter()
