Failing tests of VMs that follow a restored store

The stand-in of the store could not be restored. Change: the stand-in's items and history move to one type that can be restored from a copy and names the restoration in a header; the soak uses it too.

--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -174,7 +174,8 @@
     /// at `at`. A lower revision than the current one is ignored.
     pub fn advance(&mut self, revision: u64, at: Moment) {
         if revision < self.revision {
-            counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "revision").increment(1);
+            counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "revision")
+                .increment(1);
             return;
         }
         self.revision = revision;
--- a/crates/testbed/src/soak/store.rs
+++ b/crates/testbed/src/soak/store.rs
@@ -1,6 +1,5 @@
 //! Stand-in for the platform's store, with injected faults.
 
-use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -9,8 +8,9 @@
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
 use axum::routing::get;
-use ragwortbeam_platform_standin::{self as wire, CONFIGURATION_KEY, RangeQuery, WatchQuery};
-use serde_json::Value;
+use ragwortbeam_platform_standin::{
+    self as wire, CONFIGURATION_KEY, Contents, ERA_HEADER, RangeQuery, WatchQuery,
+};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -40,24 +40,12 @@
     Truncated,
 }
 
-#[derive(Debug, Default)]
-struct Contents {
-    mode: ResponseMode,
-    /// Revision of the last change.
-    revision: u64,
-    /// Revision up to which the history is dropped; 0 while it is complete.
-    compacted_revision: u64,
-    /// Revision and value of each item, by key.
-    items: BTreeMap<String, (u64, Vec<u8>)>,
-    /// Revision, key and value of each change, oldest first; a removal has no value.
-    history: Vec<(u64, String, Option<Vec<u8>>)>,
-}
-
 /// Versioned key-value store that serves range and watch queries over HTTP.
 #[derive(Debug)]
 pub struct Store {
     /// Loopback address that the store listens on.
     pub address: SocketAddrV4,
+    mode: Mutex<ResponseMode>,
     contents: Mutex<Contents>,
     changed: Notify,
     checker: Arc<GuaranteeChecker>,
@@ -74,6 +62,7 @@
         let listener = TcpListener::bind(address).await?;
         let store = Arc::new(Self {
             address,
+            mode: Mutex::default(),
             contents: Mutex::default(),
             changed: Notify::new(),
             checker,
@@ -89,21 +78,19 @@
     /// Sets how the store responds to calls, including watches that are pending.
     pub fn set_mode(&self, mode: ResponseMode) {
         self.checker.record_fault();
-        self.contents.lock().unwrap().mode = mode;
+        *self.mode.lock().unwrap() = mode;
         self.changed.notify_waiters();
     }
 
     /// Returns whether the store responds without a fault.
     pub fn responds_normally(&self) -> bool {
-        self.contents.lock().unwrap().mode == ResponseMode::Normal
+        *self.mode.lock().unwrap() == ResponseMode::Normal
     }
 
     /// Drops the history, so that watches from an earlier revision fail with status 410.
     pub fn compact_history(&self) {
         self.checker.record_fault();
-        let mut contents = self.contents.lock().unwrap();
-        contents.history.clear();
-        contents.compacted_revision = contents.revision;
+        self.contents.lock().unwrap().compact_history();
     }
 
     /// Writes an item as a new revision; pending watches return.
@@ -150,24 +137,14 @@
     }
 
     fn change(&self, key: &str, value: Option<Vec<u8>>) {
-        let mut contents = self.contents.lock().unwrap();
-        contents.revision += 1;
-        let revision = contents.revision;
-        match &value {
-            Some(value) => contents
-                .items
-                .insert(key.to_owned(), (revision, value.clone())),
-            None => contents.items.remove(key),
-        };
-        contents.history.push((revision, key.to_owned(), value));
-        drop(contents);
+        self.contents.lock().unwrap().change(key, value);
         self.changed.notify_waiters();
     }
 
     /// Waits as the mode requires. Returns the response to send instead of the regular one, or
     /// `None` if the mode does not replace it.
     async fn apply_mode(&self) -> Option<(StatusCode, String)> {
-        let mode = self.contents.lock().unwrap().mode;
+        let mode = *self.mode.lock().unwrap();
         match mode {
             ResponseMode::Normal => None,
             ResponseMode::Unresponsive => {
@@ -184,49 +161,34 @@
     }
 }
 
-async fn range(
-    State(store): State<Arc<Store>>,
-    Query(query): Query<RangeQuery>,
-) -> (StatusCode, String) {
-    if let Some(early_response) = store.apply_mode().await {
-        return early_response;
+/// A response with the header that tells how often the store was restored.
+type Response = (StatusCode, [(&'static str, String); 1], String);
+
+fn respond(store: &Store, status: StatusCode, body: String) -> Response {
+    let era = store.contents.lock().unwrap().era();
+    (status, [(ERA_HEADER, era.to_string())], body)
+}
+
+async fn range(State(store): State<Arc<Store>>, Query(query): Query<RangeQuery>) -> Response {
+    if let Some((status, body)) = store.apply_mode().await {
+        return respond(&store, status, body);
     }
-    let contents = store.contents.lock().unwrap();
-    let mut rest = contents.items.iter().filter(|(key, _)| **key > query.after);
-    let page = rest.by_ref().take(PAGE_SIZE);
-    let items = page.map(|(key, (revision, value))| wire::item_json(key, *revision, value));
-    let items: Vec<Value> = items.collect();
-    let body = wire::page_body(&items, rest.next().is_some(), contents.revision);
-    (StatusCode::OK, body)
+    let body = store.contents.lock().unwrap().page(&query.after, PAGE_SIZE);
+    respond(&store, StatusCode::OK, body)
 }
 
-async fn watch(
-    State(store): State<Arc<Store>>,
-    Query(query): Query<WatchQuery>,
-) -> (StatusCode, String) {
+async fn watch(State(store): State<Arc<Store>>, Query(query): Query<WatchQuery>) -> Response {
     let changed = store.changed.notified();
-    if store.contents.lock().unwrap().revision <= query.after {
+    if store.contents.lock().unwrap().is_current(query.after) {
         // A watch that times out returns no events.
         let _ = timeout(Duration::from_millis(query.wait_ms), changed).await;
     }
-    if let Some(early_response) = store.apply_mode().await {
-        return early_response;
+    if let Some((status, body)) = store.apply_mode().await {
+        return respond(&store, status, body);
     }
-    let contents = store.contents.lock().unwrap();
-    if query.after < contents.compacted_revision {
-        return (StatusCode::GONE, "{}".to_owned());
+    let events = store.contents.lock().unwrap().events(query.after);
+    match events {
+        Some(body) => respond(&store, StatusCode::OK, body),
+        None => respond(&store, StatusCode::GONE, "{}".to_owned()),
     }
-    let events = contents
-        .history
-        .iter()
-        .filter(|(revision, ..)| *revision > query.after);
-    let events = events.map(|(revision, key, value)| match value {
-        Some(value) => wire::item_json(key, *revision, value),
-        None => wire::removal_event(key, *revision),
-    });
-    let events: Vec<Value> = events.collect();
-    (
-        StatusCode::OK,
-        wire::events_body(&events, contents.revision),
-    )
 }
