--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error, From};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderMap};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -59,6 +59,8 @@
 pub struct Answer {
     /// HTTP status, of any class.
     pub status: StatusCode,
+    /// Headers as received.
+    pub headers: HeaderMap,
     /// Complete body, at most 16 MiB.
     pub body: Bytes,
 }
@@ -136,12 +138,18 @@
             .body(Empty::new())?;
         let response = sender.send_request(request).await?;
         let status = response.status();
+        let headers = response.headers().clone();
         let body = Limited::new(response.into_body(), MAX_BODY_LEN)
             .collect()
             .await
             .map_err(|error| Failure::Body(error.to_string()))?
             .to_bytes();
-        Ok((Answer { status, body }, sender))
+        let answer = Answer {
+            status,
+            headers,
+            body,
+        };
+        Ok((answer, sender))
     }
 
     async fn connect(&self) -> Result<Sender, Failure> {
--- a/crates/steering/src/catalog/configuration.rs
+++ b/crates/steering/src/catalog/configuration.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::Revision;
+
 /// Kind of traffic on the flows of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Traffic {
@@ -75,8 +77,8 @@
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
-    /// Revision of the store at which the configuration was written; 0 when there is none.
-    pub revision: u64,
+    /// Revision of the store at which the configuration was written; `NONE` when there is none.
+    pub revision: Revision,
     /// Version set by the operator, who increases it with each change.
     pub version: u64,
     /// Idle time after which a VM drops a flow from its flow table; 0 selects the default.
--- a/crates/steering/src/catalog/endpoint.rs
+++ b/crates/steering/src/catalog/endpoint.rs
@@ -8,12 +8,18 @@
 use ragwortbeam_base::clock::Moment;
 use slotmap::new_key_type;
 
+use super::Revision;
+
 /// Time for which an endpoint that is gone still gets new flows if its service has no other: its
 /// entry may merely have lapsed, which means that the endpoint could not renew it during a store
 /// outage. Together with the age of the catalog, this stays below the three seconds after which a
 /// removed endpoint must not be used.
 const LAPSE_WINDOW: Duration = Duration::from_millis(1200);
 
+/// Time after a store outage within which endpoints renew the entries that lapsed during it or were
+/// lost. A removal that is read in this time is held until its end.
+pub const LAPSED_ENTRY_HOLD: Duration = Duration::from_millis(2200);
+
 /// Longest name of a service or data centre, bytes.
 const MAX_NAME_LEN: usize = 200;
 
@@ -103,7 +109,7 @@
     /// Identifier of the endpoint.
     pub endpoint: u64,
     /// Store revision of the update.
-    pub revision: u64,
+    pub revision: Revision,
     /// Change that the update makes.
     pub change: Change,
 }
@@ -136,7 +142,7 @@
     /// Latest readable entry.
     pub entry: Entry,
     /// Store revision of the latest update.
-    pub revision: u64,
+    pub revision: Revision,
     /// Tag of this instance, from which its steering tokens are derived.
     pub tag: u32,
     /// Time at which the warm-up ends; the endpoint responds slowly until then.
--- a/crates/steering/src/catalog/evacuation.rs
+++ b/crates/steering/src/catalog/evacuation.rs
@@ -5,6 +5,8 @@
 
 use spdlog::{info, warn};
 
+use super::Revision;
+
 /// Most data centres that can be evacuated at the same time; bounds what another writer of the
 /// store can make each VM keep and pass on.
 const MAX_EVACUATED: usize = 256;
@@ -15,7 +17,7 @@
     /// Name of the data centre.
     pub data_centre: Arc<str>,
     /// Store revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
     /// True when the order was written, false when it was removed.
     pub is_ordered: bool,
 }
@@ -26,28 +28,31 @@
 /// one, so that an order that was removed does not return.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evacuations {
-    /// Revision up to which all orders are included; 0 for none.
-    complete_to: u64,
+    /// Revision up to which all orders are included; `NONE` for none.
+    complete_to: Revision,
     /// Store revision of the order for each evacuated data centre.
-    ordered: BTreeMap<Arc<str>, u64>,
+    ordered: BTreeMap<Arc<str>, Revision>,
 }
 
 impl Evacuations {
     /// Returns a set of orders that is complete up to a revision.
-    pub fn new(complete_to: u64, ordered: impl IntoIterator<Item = (Arc<str>, u64)>) -> Self {
+    pub fn new(
+        complete_to: Revision,
+        ordered: impl IntoIterator<Item = (Arc<str>, Revision)>,
+    ) -> Self {
         Self {
             complete_to,
             ordered: ordered.into_iter().take(MAX_EVACUATED).collect(),
         }
     }
 
-    /// Returns the revision up to which all orders are included; 0 for none.
-    pub fn complete_to(&self) -> u64 {
+    /// Returns the revision up to which all orders are included; `NONE` for none.
+    pub fn complete_to(&self) -> Revision {
         self.complete_to
     }
 
     /// Returns the evacuated data centres with the revisions of their orders.
-    pub fn ordered(&self) -> impl ExactSizeIterator<Item = (&Arc<str>, u64)> {
+    pub fn ordered(&self) -> impl ExactSizeIterator<Item = (&Arc<str>, Revision)> {
         self.ordered
             .iter()
             .map(|(name, revision)| (name, *revision))
@@ -64,7 +69,7 @@
     }
 
     /// Applies the changes up to `revision`. Changes older than a known order are ignored.
-    pub(super) fn apply(&mut self, updates: Vec<EvacuationUpdate>, revision: u64) {
+    pub(super) fn apply(&mut self, updates: Vec<EvacuationUpdate>, revision: Revision) {
         let previous = self.clone();
         for update in updates {
             let known = self.ordered.get(&update.data_centre).copied();
@@ -78,7 +83,7 @@
             } else {
                 warn!(
                     "event=evacuation_ignored data_centre={} revision={} error=\"expected at most {MAX_EVACUATED} evacuated data centres\"",
-                    update.data_centre, update.revision
+                    update.data_centre, update.revision.number
                 );
             }
         }
@@ -100,13 +105,18 @@
     fn log_changes(&self, previous: &Self) {
         for (data_centre, revision) in &self.ordered {
             if !previous.contains(data_centre) {
-                info!("event=evacuation_ordered data_centre={data_centre} revision={revision}");
+                let Revision { era, number } = *revision;
+                info!(
+                    "event=evacuation_ordered data_centre={data_centre} revision={number} era={era}"
+                );
             }
         }
         for data_centre in previous.ordered.keys() {
             if !self.contains(data_centre) {
-                let revision = self.complete_to;
-                info!("event=evacuation_ended data_centre={data_centre} revision={revision}");
+                let Revision { era, number } = self.complete_to;
+                info!(
+                    "event=evacuation_ended data_centre={data_centre} revision={number} era={era}"
+                );
             }
         }
     }
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Change, Configuration, Endpoint, EndpointKey, Entry, EntryUpdate, EvacuationUpdate,
-    Evacuations, Removal, Route, address_mask, tag,
+    Evacuations, Removal, Revision, Route, address_mask, tag,
 };
 
 /// Changes that a merge made; none by default.
@@ -24,11 +24,19 @@
     pub configuration: bool,
 }
 
+/// State of a catalog's endpoints and evacuation orders; changes whenever these do, apart from the
+/// holds of removals.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateId {
+    revision: Revision,
+    evacuations: Revision,
+}
+
 /// Routes and endpoints up to a revision of the store.
 #[derive(Debug, Default)]
 pub struct Catalog {
-    /// Revision up to which all changes are included; 0 for none.
-    revision: u64,
+    /// Revision up to which all changes are included; `NONE` for none.
+    revision: Revision,
     /// Latest moment at which `revision` was known to be the newest one.
     current_at: Moment,
     configuration: Configuration,
@@ -38,22 +46,22 @@
     by_id: HashMap<u64, EndpointKey>,
     /// First instance with each tag; later ones with the same tag are ambiguous.
     by_tag: HashMap<u32, EndpointKey>,
-    /// Highest revision of a dropped endpoint; 0 for none. The changes after a lower revision are
-    /// no longer complete here.
-    dropped_revision: u64,
+    /// Highest revision of a dropped endpoint; `NONE` for none. The changes after a lower revision
+    /// are no longer complete here.
+    dropped_revision: Revision,
     /// True once an entry had a start time, from which on those without one are doubted.
     has_start_times: bool,
 }
 
 impl Catalog {
-    /// Returns the store revision up to which all changes are included; 0 for none.
-    pub fn revision(&self) -> u64 {
+    /// Returns the store revision up to which all changes are included; `NONE` for none.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
     /// Returns whether the catalog is complete up to a revision and has a configuration.
     pub fn is_loaded(&self) -> bool {
-        self.revision > 0 && self.configuration.revision > 0
+        self.revision.is_some() && self.configuration.revision.is_some()
     }
 
     /// Returns the time since the catalog was last known to be current; the time since the clock's
@@ -62,7 +70,7 @@
         now.since(self.current_at)
     }
 
-    /// Returns the current configuration; its revision is 0 when there is none.
+    /// Returns the current configuration; its revision is `NONE` when there is none.
     pub fn configuration(&self) -> &Configuration {
         &self.configuration
     }
@@ -81,7 +89,7 @@
     pub fn apply_evacuations(
         &mut self,
         updates: Vec<EvacuationUpdate>,
-        revision: u64,
+        revision: Revision,
         now: Moment,
     ) {
         let previous = self.evacuations.clone();
@@ -120,10 +128,12 @@
         endpoint.is_warming_up(now).then_some(warmup.rate_per_s)
     }
 
-    /// Returns the revisions of the catalog and of its evacuation orders, which change whenever an
-    /// endpoint does.
-    pub fn revisions(&self) -> (u64, u64) {
-        (self.revision, self.evacuations.complete_to())
+    /// Returns the identifier of the state from which something is computed.
+    pub fn state_id(&self) -> StateId {
+        StateId {
+            revision: self.revision,
+            evacuations: self.evacuations.complete_to(),
+        }
     }
 
     /// Returns whether an endpoint accepts new flows and its data centre is not evacuated.
@@ -172,7 +182,7 @@
 
     /// Records that the catalog includes all changes up to `revision`, which was the newest one
     /// at `at`. A lower revision than the current one is ignored.
-    pub fn advance(&mut self, revision: u64, at: Moment) {
+    pub fn advance(&mut self, revision: Revision, at: Moment) {
         if revision < self.revision {
             counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "revision")
                 .increment(1);
@@ -184,43 +194,49 @@
 
     /// Records that the current revision was the newest one at `at`.
     pub fn confirm(&mut self, at: Moment) {
-        if self.revision > 0 {
+        if self.revision.is_some() {
             self.current_at = self.current_at.max(at);
         }
     }
 
-    /// Returns the highest revision of a dropped endpoint; 0 for none.
-    pub fn dropped_revision(&self) -> u64 {
+    /// Returns the highest revision of a dropped endpoint; `NONE` for none.
+    pub fn dropped_revision(&self) -> Revision {
         self.dropped_revision
     }
 
-    /// Replaces the configuration if both revision and version are newer; returns whether it did.
+    /// Replaces the configuration by one with a higher version, or by the same version of a later
+    /// era; returns whether it did.
     ///
-    /// Any version replaces a missing configuration.
+    /// The operator's version decides: a restored store lists an earlier one until the operator has
+    /// written the latest again, and the revision of that may be below the known one. Any version
+    /// replaces a missing configuration.
     pub fn apply_configuration(&mut self, configuration: Configuration) -> bool {
         let current = &self.configuration;
-        let is_newer = configuration.revision > current.revision
-            && (configuration.version > current.version || current.revision == 0);
+        let order = |it: &Configuration| (it.version, it.revision.era);
+        let is_newer = !current.revision.is_some() || order(&configuration) > order(current);
         if !is_newer {
             if configuration.version != current.version {
                 counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "configuration")
                     .increment(1);
                 info!(
-                    "event=configuration_ignored version={} revision={} version_in_force={} revision_in_force={}",
+                    "event=configuration_ignored version={} revision={} era={} version_in_force={} revision_in_force={} era_in_force={}",
                     configuration.version,
-                    configuration.revision,
+                    configuration.revision.number,
+                    configuration.revision.era,
                     current.version,
-                    current.revision,
+                    current.revision.number,
+                    current.revision.era,
                 );
             }
             return false;
         }
         info!(
-            "event=configuration_in_force version={} revision={} routes={} replaced={}",
+            "event=configuration_in_force version={} revision={} routes={} replaced={} era={}",
             configuration.version,
-            configuration.revision,
+            configuration.revision.number,
             configuration.routes.len(),
             current.version,
+            configuration.revision.era,
         );
         self.configuration = configuration;
         true
@@ -232,7 +248,7 @@
     /// A removal takes effect after `hold`, unless the entry is written again before.
     pub fn apply_update(&mut self, update: EntryUpdate, now: Moment, hold: Duration) -> bool {
         let current = self.by_id.get(&update.endpoint).copied();
-        let current_revision = current.map_or(0, |key| self.endpoints[key].revision);
+        let current_revision = current.map_or(Revision::NONE, |key| self.endpoints[key].revision);
         if update.revision <= current_revision {
             if update.revision < current_revision {
                 counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "endpoint")
@@ -251,10 +267,12 @@
             (Change::Removed, Some(key)) => {
                 let endpoint = &mut self.endpoints[key];
                 endpoint.revision = update.revision;
-                endpoint.removal = Some(Removal {
-                    observed_at: now,
-                    hold,
-                });
+                if !endpoint.is_gone(now) {
+                    endpoint.removal = Some(Removal {
+                        observed_at: now,
+                        hold,
+                    });
+                }
                 log_endpoint("endpoint_removed", endpoint, hold);
             }
             (Change::Unreadable, Some(key)) => {
@@ -271,11 +289,11 @@
     /// Merges an endpoint instance from another VM's catalog if it is newer than the current one;
     /// returns whether it did.
     pub fn merge_endpoint(&mut self, endpoint: Endpoint, now: Moment) -> bool {
+        let Endpoint { id, revision, .. } = endpoint;
         let current = self.by_id.get(&endpoint.id).copied();
         if current.is_some_and(|key| endpoint.revision <= self.endpoints[key].revision) {
             return false;
         }
-        let (id, revision) = (endpoint.id, endpoint.revision);
         match self.doubt(id, endpoint.entry, revision) {
             Change::Written(entry) => self.put_entry(id, entry, revision, endpoint.removal, now),
             change => {
@@ -295,7 +313,7 @@
     pub fn remove_missing(
         &mut self,
         present: &[u64],
-        revision: u64,
+        revision: Revision,
         now: Moment,
         hold: Duration,
     ) -> usize {
@@ -348,7 +366,7 @@
     ///
     /// That is the case for an entry without a start time where entries have one, and for one that
     /// moves an endpoint without a restart from a service with a route to one without.
-    fn doubt(&self, id: u64, entry: Entry, revision: u64) -> Change {
+    fn doubt(&self, id: u64, entry: Entry, revision: Revision) -> Change {
         let current = self.by_id.get(&id).map(|key| &self.endpoints[*key].entry);
         let lacks_start_time = entry.born_ms == 0 && self.has_start_times;
         let leaves_its_service = current.is_some_and(|current| {
@@ -363,8 +381,8 @@
             (false, false) => return Change::Written(entry),
         };
         info!(
-            "event=entry_doubted reason={reason} endpoint={id:x} service={} address={} revision={revision}",
-            entry.service, entry.address,
+            "event=entry_doubted reason={reason} endpoint={id:x} service={} address={} revision={}",
+            entry.service, entry.address, revision.number
         );
         Change::Unreadable
     }
@@ -375,7 +393,7 @@
         &mut self,
         id: u64,
         entry: Entry,
-        revision: u64,
+        revision: Revision,
         removal: Option<Removal>,
         now: Moment,
     ) {
@@ -442,7 +460,7 @@
         endpoint.entry.data_centre,
         endpoint.entry.is_draining,
         endpoint.entry.born_ms,
-        endpoint.revision,
+        endpoint.revision.number,
         hold.as_millis(),
     );
 }
--- a/crates/steering/src/catalog/wire.rs
+++ b/crates/steering/src/catalog/wire.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Catalog, Change, Configuration, Endpoint, Entry, EntryError, EntryUpdate, Evacuations,
-    MergeSummary, Removal, Route, Target, Traffic, Warmup, tag,
+    LAPSED_ENTRY_HOLD, MergeSummary, Removal, Revision, Route, Target, Traffic, Warmup, tag,
 };
 use crate::message;
 
@@ -19,12 +19,13 @@
 }
 
 impl Catalog {
-    /// Returns a message with all changes after `revision` and all evacuation orders.
-    pub fn changed_after(&self, revision: u64, now: Moment) -> message::Catalog {
+    /// Returns a message with all changes after `revision` and all evacuation orders. It has the
+    /// configuration also if that is a later version than `version`.
+    pub fn changed_after(&self, revision: Revision, version: u64, now: Moment) -> message::Catalog {
         let configuration = self.configuration();
+        let has_changed = configuration.revision > revision || configuration.version > version;
         message::Catalog {
-            configuration: (configuration.revision > revision)
-                .then(|| configuration_to_message(configuration)),
+            configuration: has_changed.then(|| configuration_to_message(configuration)),
             endpoints: self
                 .endpoints()
                 .filter(|(_, endpoint)| endpoint.revision > revision)
@@ -35,7 +36,8 @@
                 .ordered()
                 .map(|(data_centre, revision)| message::Evacuation {
                     data_centre: data_centre.to_string(),
-                    revision,
+                    revision: revision.number,
+                    era: revision.era,
                 })
                 .collect(),
         }
@@ -46,34 +48,56 @@
     pub fn merge_evacuations(
         &mut self,
         catalog: &message::Catalog,
-        complete_to: u64,
+        complete_to: Revision,
         now: Moment,
     ) -> bool {
         let orders = catalog.evacuations.iter();
-        let ordered = orders.map(|it| (it.data_centre.as_str().into(), it.revision));
+        let ordered = orders.map(|it| {
+            let revision = Revision::new(it.era, it.revision);
+            (it.data_centre.as_str().into(), revision)
+        });
         self.replace_evacuations(Evacuations::new(complete_to, ordered), now)
     }
 
-    /// Returns a message with the revision and age of this catalog.
+    /// Returns a message with the revisions and age of this catalog.
     pub fn view(&self, now: Moment) -> message::View {
+        let (revision, evacuations) = (self.revision(), self.evacuations().complete_to());
         message::View {
-            revision: self.revision(),
+            revision: revision.number,
             age_ms: saturating_ms(self.age(now)),
-            evacuations_revision: self.evacuations().complete_to(),
+            evacuations_revision: evacuations.number,
+            era: revision.era,
+            evacuations_era: evacuations.era,
+            configuration_version: self.configuration().version,
         }
     }
 
-    /// Merges a message of another VM. Routes that cannot be used are ignored, and endpoints that
-    /// cannot be used get no new flows.
-    pub fn merge(&mut self, catalog: &message::Catalog, now: Moment) -> MergeSummary {
-        let mut summary = MergeSummary::default();
-        if let Some(configuration) = &catalog.configuration {
-            summary.configuration =
-                self.apply_configuration(configuration_from_message(configuration));
-        }
+    /// Replaces the configuration by that of another VM's message if this has a later one; returns
+    /// whether it has. Routes that cannot be used are ignored.
+    pub fn merge_configuration(&mut self, catalog: &message::Catalog) -> bool {
+        let configuration = catalog.configuration.as_ref();
+        configuration.is_some_and(|it| self.apply_configuration(configuration_from_message(it)))
+    }
+
+    /// Merges a message of another VM whose catalog is complete up to `revision`. Routes that cannot
+    /// be used are ignored, and endpoints that cannot be used get no new flows.
+    ///
+    /// A message with `is_whole` lists all endpoints, and those that are missing are removed.
+    pub fn merge(
+        &mut self,
+        catalog: &message::Catalog,
+        revision: Revision,
+        is_whole: bool,
+        now: Moment,
+    ) -> MergeSummary {
+        let is_restored = self.revision().is_some() && revision.era > self.revision().era;
+        let mut summary = MergeSummary {
+            configuration: self.merge_configuration(catalog),
+            ..MergeSummary::default()
+        };
         // Instances of an endpoint are merged from the oldest to the newest.
         let mut endpoints: Vec<&message::Endpoint> = catalog.endpoints.iter().collect();
-        endpoints.sort_by_key(|endpoint| endpoint.revision);
+        endpoints.sort_by_key(|endpoint| (endpoint.era, endpoint.revision));
         for message in endpoints {
             let is_changed = match endpoint_from_message(message, now) {
                 Ok(endpoint) => self.merge_endpoint(endpoint, now),
@@ -84,7 +108,7 @@
                     );
                     let update = EntryUpdate {
                         endpoint: message.id,
-                        revision: message.revision,
+                        revision: Revision::new(message.era, message.revision),
                         change: Change::Unreadable,
                     };
                     self.apply_update(update, now, Duration::ZERO)
@@ -92,6 +116,15 @@
             };
             summary.endpoints += usize::from(is_changed);
         }
+        if is_whole {
+            let present: Vec<u64> = catalog.endpoints.iter().map(|it| it.id).collect();
+            let hold = if is_restored {
+                LAPSED_ENTRY_HOLD
+            } else {
+                Duration::ZERO
+            };
+            self.remove_missing(&present, revision, now, hold);
+        }
         summary
     }
 }
@@ -118,7 +151,8 @@
 
 fn configuration_to_message(configuration: &Configuration) -> message::Configuration {
     message::Configuration {
-        revision: configuration.revision,
+        revision: configuration.revision.number,
+        era: configuration.revision.era,
         version: configuration.version,
         flow_idle_ms: saturating_ms(configuration.flow_idle),
         routes: configuration
@@ -160,7 +194,8 @@
     message::Endpoint {
         id: endpoint.id,
         born_ms: entry.born_ms,
-        revision: endpoint.revision,
+        revision: endpoint.revision.number,
+        era: endpoint.revision.era,
         service: entry.service.to_string(),
         ip: (*entry.address.ip()).into(),
         port: entry.address.port().into(),
@@ -178,7 +213,7 @@
 fn configuration_from_message(message: &message::Configuration) -> Configuration {
     let routes = message.routes.iter().filter_map(route_from_message);
     Configuration {
-        revision: message.revision,
+        revision: Revision::new(message.era, message.revision),
         version: message.version,
         flow_idle: Duration::from_millis(message.flow_idle_ms.into()),
         routes: routes.map(|route| (route.address, route)).collect(),
@@ -238,7 +273,7 @@
     Ok(Endpoint {
         id: message.id,
         entry,
-        revision: message.revision,
+        revision: Revision::new(message.era, message.revision),
         tag: tag(message.id, message.born_ms),
         warmup_ends_at: now + warmup_left,
         removal: message.removal.map(|removal| Removal {
--- a/crates/steering/src/catalog_source.rs
+++ b/crates/steering/src/catalog_source.rs
@@ -3,14 +3,14 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use crate::catalog::{Configuration, EntryUpdate, EvacuationUpdate};
+use crate::catalog::{Configuration, EntryUpdate, EvacuationUpdate, Revision};
 use crate::errors::Result;
 
 /// Full contents of the store, or the changes since an earlier revision.
 #[derive(Clone, Debug, Default)]
 pub struct CatalogUpdate {
     /// Store revision up to which all changes are included.
-    pub revision: u64,
+    pub revision: Revision,
     /// Configuration; `None` when it is not included or cannot be decoded.
     pub configuration: Option<Configuration>,
     /// Changes of endpoint entries.
@@ -29,6 +29,7 @@
     fn read_all(&self) -> SourceFuture<'_, CatalogUpdate>;
 
     /// Waits up to `wait` for changes after `revision`. Returns `None` when the store no longer
-    /// has the history since `revision`, so that everything has to be read again.
-    fn watch(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Option<CatalogUpdate>>;
+    /// has the history since `revision`, or was restored from a copy since, so that everything has
+    /// to be read again.
+    fn watch(&self, revision: Revision, wait: Duration) -> SourceFuture<'_, Option<CatalogUpdate>>;
 }
--- a/crates/steering/src/http_server.rs
+++ b/crates/steering/src/http_server.rs
@@ -12,6 +12,7 @@
 use spdlog::warn;
 use tokio::net::TcpListener;
 
+use crate::catalog::Revision;
 use crate::mesh::PeerLink;
 use crate::prelude::*;
 
@@ -47,8 +48,9 @@
     serve(router, listener, "ready").await;
 }
 
-/// Serves `/catalog` to other VMs until the process ends. The query `after` is the revision after
-/// which changes are requested; 0, the default, requests the whole catalog.
+/// Serves `/catalog` to other VMs until the process ends. The query has the number `after` and the
+/// `era` of the revision after which changes are requested, and the `version` of the configuration
+/// that the other VM has; without them the whole catalog is requested.
 pub async fn serve_peers(state: HandlerState, listener: TcpListener) {
     let router = Router::new()
         .route("/catalog", get(catalog))
@@ -85,12 +87,17 @@
 }
 
 async fn catalog(State(state): State<HandlerState>, RawQuery(query): RawQuery) -> Vec<u8> {
-    let after = query
-        .as_deref()
-        .and_then(|query| query.strip_prefix("after="))
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-    state.link.answer_pull(after).encode_to_vec()
+    let query = query.unwrap_or_default();
+    let parameter = |name| parameter(&query, name).unwrap_or(0);
+    let after = Revision::new(parameter("era"), parameter("after"));
+    let answer = state.link.answer_pull(after, parameter("version"));
+    answer.encode_to_vec()
+}
+
+/// Returns a number in a query; `None` when it is missing or not a number.
+fn parameter(query: &str, name: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
 }
 
 async fn status(State(state): State<HandlerState>) -> String {
@@ -105,9 +112,9 @@
         evacuated.join(",")
     };
     format!(
-        "config={} revision={} catalog_age_ms={} endpoints={} vms_here={} rank={} known_vms={} able_vms={} is_handed_over={} evacuated={}\n",
+        "config={} revision={} catalog_age_ms={} endpoints={} vms_here={} rank={} known_vms={} able_vms={} is_handed_over={} evacuated={} era={}\n",
         catalog.configuration().version,
-        catalog.revision(),
+        catalog.revision().number,
         catalog.age(now).as_millis(),
         catalog.endpoints().count(),
         members.local_vm_count(now),
@@ -116,5 +123,6 @@
         data_centre.census.able,
         data_centre.is_handed_over,
         evacuated,
+        catalog.revision().era,
     )
 }
--- a/crates/steering/src/mesh/link.rs
+++ b/crates/steering/src/mesh/link.rs
@@ -13,6 +13,7 @@
 use super::pull::Pulls;
 use super::rotation::Rotation;
 use super::{LoadAggregate, MembershipTable};
+use crate::catalog::Revision;
 use crate::load::{EndpointLoads, Loads};
 use crate::message::{self, Digest, Frame, frame};
 use crate::placement::Allocator;
@@ -84,13 +85,19 @@
     /// Pushes all catalog changes after `revision` to the VMs that report to this one and to
     /// its hubs; a hub also pushes them to the hubs of remote data centres. Changes that exceed
     /// `MAX_PUSHED_CHANGES_BYTES` are left out of the frame, and the receiver pulls them.
-    pub fn push_changes(&self, revision: u64) {
+    pub fn push_changes(&self, revision: Revision) {
         let now = Moment::now();
-        let changes = self.catalog.lock().unwrap().changed_after(revision, now);
+        let (changes, revision) = {
+            let catalog = self.catalog.lock().unwrap();
+            let revision = base_revision(&catalog, revision);
+            let version = catalog.configuration().version;
+            (catalog.changed_after(revision, version, now), revision)
+        };
         let is_pushable = changes.encoded_len() <= MAX_PUSHED_CHANGES_BYTES;
         let body = frame::Body::Digest(Digest {
             changes: is_pushable.then_some(changes),
-            changed_after: revision,
+            changed_after: revision.number,
+            changed_after_era: revision.era,
             ..Digest::default()
         });
         let mut receivers = self.aggregate.lock().unwrap().reporting_vms(now);
@@ -137,25 +144,21 @@
         self.stop_allocating(now);
     }
 
-    /// Returns the answer to a peer that pulls the catalog and whose own one includes all
-    /// changes up to `revision`. The answer has all entries if one that changed after
-    /// `revision` has been dropped here.
-    pub fn answer_pull(&self, revision: u64) -> Frame {
+    /// Returns the answer to a peer that pulls the catalog, whose own one includes all changes up to
+    /// `revision` and a configuration of `version`.
+    pub fn answer_pull(&self, revision: Revision, version: u64) -> Frame {
         let now = Moment::now();
         let (changes, changed_after) = {
             let catalog = self.catalog.lock().unwrap();
-            let base_revision = if revision < catalog.dropped_revision() {
-                0
-            } else {
-                revision
-            };
-            (catalog.changed_after(base_revision, now), base_revision)
+            let revision = base_revision(&catalog, revision);
+            (catalog.changed_after(revision, version, now), revision)
         };
         let members = self.members.lock().unwrap().member_list(now);
         let digest = Digest {
             members,
             changes: Some(changes),
-            changed_after,
+            changed_after: changed_after.number,
+            changed_after_era: changed_after.era,
             ..Digest::default()
         };
         self.build_frame(frame::Body::Digest(digest), now)
@@ -205,7 +208,8 @@
             Some(frame::Body::Beat(beat)) => self.answer_heartbeat(ip, is_local, beat, now),
             Some(frame::Body::Digest(mut digest)) => {
                 let received = digest.changes.take();
-                changes = received.map(|changes| (changes, digest.changed_after));
+                let changed_after = Revision::new(digest.changed_after_era, digest.changed_after);
+                changes = received.map(|changes| (changes, changed_after));
                 self.apply_digest(ip, is_local, &sender.data_centre, &digest, now);
             }
             Some(frame::Body::Placement(placement)) => self.handle_placement(ip, &placement, now),
@@ -223,45 +227,47 @@
         self: &Arc<Self>,
         ip: Ipv4Addr,
         view: &message::View,
-        changes: Option<(message::Catalog, u64)>,
+        changes: Option<(message::Catalog, Revision)>,
         now: Moment,
     ) {
+        let view_revision = Revision::new(view.era, view.revision);
+        let view_evacuations = Revision::new(view.evacuations_era, view.evacuations_revision);
         let known_at = now.before(Duration::from_millis(view.age_ms.into()));
-        let mut has_new_evacuations = false;
+        let mut has_configuration = false;
+        let mut has_news = false;
         let previous_revision = {
             let mut catalog = self.catalog.lock().unwrap();
             let previous_revision = catalog.revision();
             if let Some((changes, _)) = &changes {
-                let complete_to = view.evacuations_revision;
-                has_new_evacuations = catalog.merge_evacuations(changes, complete_to, now);
+                has_news = catalog.merge_evacuations(changes, view_evacuations, now);
+                has_configuration = catalog.merge_configuration(changes);
+                has_news |= has_configuration;
             }
             if let Some((changes, changed_after)) = changes
                 && changed_after <= previous_revision
-                && view.revision > previous_revision
+                && view_revision > previous_revision
             {
-                let merge = catalog.merge(&changes, now);
+                let is_whole = !changed_after.is_some();
+                let merge = catalog.merge(&changes, view_revision, is_whole, now);
                 info!(
-                    "event=catalog_merged from={ip} after={changed_after} revision={} age_ms={} endpoints={} configuration={}",
-                    view.revision, view.age_ms, merge.endpoints, merge.configuration
+                    "event=catalog_merged from={ip} after={} revision={} age_ms={} endpoints={} configuration={has_configuration} era={}",
+                    changed_after.number, view.revision, view.age_ms, merge.endpoints, view.era
                 );
-                if changed_after == 0 {
-                    let present: Vec<u64> = changes.endpoints.iter().map(|it| it.id).collect();
-                    catalog.remove_missing(&present, view.revision, now, Duration::ZERO);
-                }
-                catalog.advance(view.revision, known_at);
+                catalog.advance(view_revision, known_at);
             }
-            if view.revision <= catalog.revision() {
+            if view_revision <= catalog.revision() {
                 catalog.confirm(known_at);
             }
             previous_revision
         };
-        let (current_revision, evacuations_revision) = {
+        let (current_revision, is_behind) = {
             let catalog = self.catalog.lock().unwrap();
-            (catalog.revision(), catalog.evacuations().complete_to())
+            let is_behind = view_revision > catalog.revision()
+                || view_evacuations > catalog.evacuations().complete_to()
+                || view.configuration_version > catalog.configuration().version;
+            (catalog.revision(), is_behind)
         };
-        let is_behind =
-            view.revision > current_revision || view.evacuations_revision > evacuations_revision;
-        if current_revision > previous_revision || has_new_evacuations {
+        if current_revision > previous_revision || has_news {
             self.push_changes(previous_revision);
         } else if is_behind {
             self.start_pull(ip, now);
@@ -269,6 +275,18 @@
     }
 }
 
+/// Returns the revision after which a peer whose catalog is complete up to `revision` gets changes:
+/// none, for the whole catalog, if the store was restored since or an endpoint that changed after
+/// `revision` has been dropped here.
+fn base_revision(catalog: &Catalog, revision: Revision) -> Revision {
+    let is_of_earlier_era = revision.era < catalog.revision().era;
+    if is_of_earlier_era || revision < catalog.dropped_revision() {
+        Revision::NONE
+    } else {
+        revision
+    }
+}
+
 /// Receives and handles frames until the process ends.
 pub async fn receive_frames(link: Arc<PeerLink>) {
     let mut datagram = vec![0; MAX_FRAME_BYTES];
--- a/crates/steering/src/mesh/pull.rs
+++ b/crates/steering/src/mesh/pull.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::PeerLink;
-use crate::catalog::saturating_ms;
+use crate::catalog::{Revision, saturating_ms};
 use crate::message::Frame;
 use crate::prelude::*;
 
@@ -60,12 +60,17 @@
 /// [`Error::Request`], [`Error::Status`] or [`Error::InvalidResponse`]; a pull from another
 /// peer may succeed.
 pub async fn pull_catalog(link: &Arc<PeerLink>, ip: Ipv4Addr) -> Result<()> {
-    let revision = link.catalog.lock().unwrap().revision();
+    let (revision, version) = {
+        let catalog = link.catalog.lock().unwrap();
+        (catalog.revision(), catalog.configuration().version)
+    };
     let context = || format!("catalog of {ip}");
     let client = http::Client::new(format!("{ip}:{}", link.port));
+    let Revision { era, number } = revision;
+    let path = format!("/catalog?after={number}&era={era}&version={version}");
     let sent_at = Moment::now();
     let response = client
-        .get(&format!("/catalog?after={revision}"), PULL_TIMEOUT)
+        .get(&path, PULL_TIMEOUT)
         .await
         .map_err(|source| Error::Request {
             context: context(),
@@ -79,7 +84,7 @@
     }
     let mut frame =
         Frame::decode(response.body).map_err(|error| Error::invalid_response(context(), error))?;
-    info!("event=catalog_pulled from={ip} after={revision}");
+    info!("event=catalog_pulled from={ip} after={number} era={era} version={version}");
     let now = Moment::now();
     if let Some(view) = &mut frame.view {
         // The peer may have stated the age at any time since the request.
--- a/crates/steering/src/node.rs
+++ b/crates/steering/src/node.rs
@@ -250,7 +250,9 @@
         let now = Moment::now();
         let catalog = catalog.lock().unwrap();
         gauge!("ragwortbeam_catalog_age_seconds").set(catalog.age(now).as_secs_f64());
-        gauge!("ragwortbeam_catalog_revision").set(catalog.revision() as f64);
+        let revision = catalog.revision();
+        gauge!("ragwortbeam_catalog_revision").set(revision.number as f64);
+        gauge!("ragwortbeam_catalog_era").set(revision.era as f64);
         gauge!("ragwortbeam_configuration_version").set(catalog.configuration().version as f64);
         let evacuated = catalog.evacuations().ordered().len();
         gauge!("ragwortbeam_evacuated_data_centres").set(evacuated as f64);
--- a/crates/steering/src/placement/shard.rs
+++ b/crates/steering/src/placement/shard.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::catalog::EndpointKey;
+use crate::catalog::{EndpointKey, StateId};
 use crate::prelude::*;
 
 /// Mean number of endpoints of a shard. Enough for their queues to even out; few enough for the
@@ -29,8 +29,8 @@
     by_service: HashMap<Arc<str>, Vec<Shard>>,
     /// Service and index of each shard.
     by_id: HashMap<u64, (Arc<str>, usize)>,
-    /// Revisions of the catalog and of its evacuation orders.
-    revisions: (u64, u64),
+    /// State of the catalog that the shards were computed from.
+    state_id: StateId,
     /// Time at which a removed endpoint is gone, so that the shards change; `None` without one.
     valid_until: Option<Moment>,
 }
@@ -56,7 +56,7 @@
             endpoints.push((key, endpoint));
         }
         let mut map = Self {
-            revisions: catalog.revisions(),
+            state_id: catalog.state_id(),
             valid_until,
             ..Self::default()
         };
@@ -92,7 +92,7 @@
 
     /// Returns whether the map need not be computed again.
     pub fn is_current(&self, catalog: &Catalog, now: Moment) -> bool {
-        self.revisions == catalog.revisions() && self.valid_until.is_none_or(|end| now < end)
+        self.state_id == catalog.state_id() && self.valid_until.is_none_or(|end| now < end)
     }
 
     /// Returns the shards of a service; empty when it has no endpoint here.
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -9,7 +9,7 @@
 use spdlog::{info, warn};
 use tokio::time::sleep;
 
-use crate::catalog::Evacuations;
+use crate::catalog::{Evacuations, LAPSED_ENTRY_HOLD, Revision};
 use crate::catalog_source::{CatalogSource, CatalogUpdate};
 use crate::mesh::PeerLink;
 use crate::prelude::*;
@@ -78,10 +78,6 @@
 /// another reader hung or was frozen.
 const UNSEEN_OUTAGE_AGE: Duration = Duration::from_millis(3400);
 
-/// Time after a store outage within which endpoints renew the entries that lapsed during it. A
-/// removal that is read in this time is held until its end.
-const LAPSED_ENTRY_HOLD: Duration = Duration::from_millis(2200);
-
 /// Returns the maximum backoff after failed reads of a VM of this rank.
 ///
 /// It grows with the rank, so that the request rate of a data centre that is cut off from the
@@ -255,16 +251,22 @@
                 self.apply(changes, None, sent_at + wait);
                 return Ok(());
             }
-            info!("event=store_history_gone revision={revision}");
+            info!(
+                "event=store_history_gone revision={} era={}",
+                revision.number, revision.era
+            );
         }
         let sent_at = Moment::now();
         counter!("ragwortbeam_store_reads_total", "kind" => "all").increment(1);
         let update = self.catalog_source.read_all().await?;
         histogram!("ragwortbeam_store_read_seconds").record(Moment::now().since(sent_at));
         info!(
-            "event=store_read_whole revision={} version={} catalog_revision={revision}",
-            update.revision,
-            update.configuration.as_ref().map_or(0, |it| it.version)
+            "event=store_read_whole revision={} era={} version={} catalog_revision={} catalog_era={}",
+            update.revision.number,
+            update.revision.era,
+            update.configuration.as_ref().map_or(0, |it| it.version),
+            revision.number,
+            revision.era,
         );
         let present_ids = update
             .entry_updates
@@ -289,6 +291,25 @@
         let known_at = now.min(wait_ends_at);
         let old_revision = {
             let mut catalog = self.catalog.lock().unwrap();
+            let Revision { era, number } = catalog.revision();
+            if update.revision.era < era {
+                counter!("ragwortbeam_catalog_updates_ignored_total", "kind" => "revision")
+                    .increment(1);
+                info!(
+                    "event=store_answer_outdated revision={} era={} catalog_revision={number} catalog_era={era}",
+                    update.revision.number, update.revision.era
+                );
+                return;
+            }
+            let is_restored = catalog.is_loaded() && update.revision.era > era;
+            if is_restored {
+                info!(
+                    "event=store_restored revision={} era={} catalog_revision={number} catalog_era={era}",
+                    update.revision.number, update.revision.era
+                );
+                // Endpoints renew what the copy lacks, as after an outage.
+                self.outage_ended_at = Some(now);
+            }
             let outage_age = if self.backoff > Duration::ZERO {
                 OUTAGE_AGE
             } else {
--- a/crates/steering/src/steer/event_log.rs
+++ b/crates/steering/src/steer/event_log.rs
@@ -41,7 +41,7 @@
         packet.token,
         describe_instance(packet, &catalog, now),
         catalog.configuration().version,
-        catalog.revision(),
+        catalog.revision().number,
         catalog.age(now).as_millis(),
     );
 }
@@ -103,7 +103,7 @@
         reported_load.open,
         endpoint_loads.contributors(),
         catalog.configuration().version,
-        catalog.revision(),
+        catalog.revision().number,
         catalog.age(now).as_millis(),
     );
 }
@@ -160,7 +160,7 @@
         endpoint.id,
         endpoint.entry.service,
         endpoint.entry.address,
-        endpoint.revision,
+        endpoint.revision.number,
         catalog.age(now).as_millis(),
     );
 }
--- a/crates/steering/src/subset.rs
+++ b/crates/steering/src/subset.rs
@@ -11,7 +11,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::catalog::EndpointKey;
+use crate::catalog::{EndpointKey, StateId};
 use crate::prelude::*;
 
 /// Maximum number of endpoints of a service that a subset has in the VM's data centre, and again in
@@ -39,8 +39,8 @@
     /// Tags of all endpoints, those of the VM's data centre first; both parts in ascending order.
     all: Vec<u32>,
     checksum: u32,
-    /// Revisions of the catalog and of its evacuation orders that the subset was computed from.
-    revisions: (u64, u64),
+    /// State of the catalog that the subset was computed from.
+    state_id: StateId,
     /// End of the first hold of a removed entry, at which the subset changes; `None` when no hold
     /// is running.
     valid_until: Option<Moment>,
@@ -61,7 +61,7 @@
         }
         let size = (MAX_TOTAL / services.len().max(1)).clamp(MIN_PER_SERVICE, MAX_PER_SERVICE);
         let mut subset = Self {
-            revisions: catalog.revisions(),
+            state_id: catalog.state_id(),
             valid_until: usable().filter_map(|(_, it)| it.gone_at()).min(),
             ..Self::default()
         };
@@ -93,7 +93,7 @@
 
     /// Returns whether the subset need not be computed again.
     fn is_current(&self, catalog: &Catalog, now: Moment) -> bool {
-        self.revisions == catalog.revisions() && self.valid_until.is_none_or(|end| now < end)
+        self.state_id == catalog.state_id() && self.valid_until.is_none_or(|end| now < end)
     }
 
     /// Returns the endpoints of a service; empty when it has none.
--- a/crates/steering/tests/catalog.rs
+++ b/crates/steering/tests/catalog.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use common::{DC_A, at, configuration, entry, ledger, removed, route, vault, written};
+use common::{DC_A, at, configuration, entry, ledger, removed, revision, route, vault, written};
 use ragwortbeam_steering::catalog::{
-    Catalog, Change, Entry, EntryUpdate, MergeSummary, Traffic, address_mask, tag,
+    Catalog, Change, Entry, EntryUpdate, MergeSummary, Revision, Traffic, address_mask, tag,
 };
 use ragwortbeam_steering::message;
 
@@ -61,7 +61,7 @@
                 written(1, 5, ready()),
                 EntryUpdate {
                     endpoint: 1,
-                    revision: 6,
+                    revision: revision(6),
                     change: Change::Unreadable,
                 },
             ],
@@ -87,7 +87,7 @@
     assert!(!catalog.apply_configuration(older));
     // The same version at a later revision is ignored, too.
     let mut same_version = newer;
-    same_version.revision = 30;
+    same_version.revision = revision(30);
     assert!(!catalog.apply_configuration(same_version));
     assert_eq!(catalog.configuration().version, 7);
     assert!(catalog.route(ledger()).is_some());
@@ -147,18 +147,28 @@
     };
     let mut read = Catalog::default();
     let mut merged = Catalog::default();
-    for (revision, born_ms) in [(5, 1000), (6, 2000), (7, 1000), (8, 2000), (9, 1000)] {
-        read.apply_update(written(1, revision, start(born_ms)), at(0), HOLD);
-        merged.merge(&read.changed_after(revision - 1, at(0)), at(0));
+    for (number, born_ms) in [(5, 1000), (6, 2000), (7, 1000), (8, 2000), (9, 1000)] {
+        read.apply_update(written(1, number, start(born_ms)), at(0), HOLD);
+        merged.merge(
+            &read.changed_after(revision(number - 1), u64::MAX, at(0)),
+            Revision::NONE,
+            false,
+            at(0),
+        );
     }
     let mut copied = Catalog::default();
-    copied.merge(&read.changed_after(0, at(0)), at(0));
+    copied.merge(
+        &read.changed_after(revision(0), u64::MAX, at(0)),
+        Revision::NONE,
+        false,
+        at(0),
+    );
     for (name, catalog) in [("read", read), ("merged", merged), ("copied", copied)] {
         let key = catalog.by_tag(tag(1, 1000)).unwrap();
         assert!(!catalog.is_ambiguous(key), "{name}");
         let endpoint = catalog.endpoint(key).unwrap();
         assert!(endpoint.accepts_flows(at(1)), "{name}");
-        assert_eq!(endpoint.revision, 9, "{name}");
+        assert_eq!(endpoint.revision, revision(9), "{name}");
         let earlier = catalog.by_tag(tag(1, 2000)).unwrap();
         assert!(!catalog.endpoint(earlier).unwrap().accepts_flows(at(1)));
         let forwarding = catalog.forwarding_endpoint(earlier).unwrap();
@@ -199,13 +209,18 @@
         read.apply_update(written(1, 5, good()), at(0), HOLD);
         read.apply_update(written(2, 6, entry("ledger", 2, DC_A)), at(0), HOLD);
         let mut merged = Catalog::default();
-        merged.merge(&read.changed_after(0, at(0)), at(0));
+        merged.merge(
+            &read.changed_after(revision(0), u64::MAX, at(0)),
+            Revision::NONE,
+            false,
+            at(0),
+        );
         // A VM of an earlier version passes the entry on as it is.
         let mut undoubting = Catalog::default();
         undoubting.apply_update(written(1, 7, case.odd.clone()), at(10), HOLD);
-        let passed_on = undoubting.changed_after(6, at(10));
+        let passed_on = undoubting.changed_after(revision(6), u64::MAX, at(10));
         assert!(read.apply_update(written(1, 7, case.odd), at(10), HOLD));
-        merged.merge(&passed_on, at(10));
+        merged.merge(&passed_on, Revision::NONE, false, at(10));
         for (source, catalog) in [("read", &mut read), ("merged", &mut merged)] {
             let name = format!("{}, {source}", case.name);
             let key = catalog.by_tag(tag(1, 1000)).unwrap();
@@ -322,8 +337,13 @@
             sender.apply_update(written(id, 5 + id, entry), at(0), HOLD);
         }
         let mut receiver = Catalog::default();
-        receiver.merge(&sender.changed_after(0, at(0)), at(0));
-        let mut changes = sender.changed_after(0, at(0));
+        receiver.merge(
+            &sender.changed_after(revision(0), u64::MAX, at(0)),
+            Revision::NONE,
+            false,
+            at(0),
+        );
+        let mut changes = sender.changed_after(revision(0), u64::MAX, at(0));
         for endpoint in &mut changes.endpoints {
             endpoint.revision += 10;
             if endpoint.id == 2 {
@@ -336,10 +356,10 @@
             route.port += 65_536;
         }
         for (name, mut catalog) in [("known", receiver), ("unknown", Catalog::default())] {
-            catalog.merge(&changes, at(10));
+            catalog.merge(&changes, Revision::NONE, false, at(10));
             let accepting = catalog
                 .endpoints()
-                .filter(|(_, it)| it.accepts_flows(at(20)) && it.revision > 10);
+                .filter(|(_, it)| it.accepts_flows(at(20)) && it.revision > revision(10));
             let mut ids: Vec<u64> = accepting.map(|(_, it)| it.id).collect();
             ids.sort();
             assert_eq!(ids, [1, 3], "{}, {name}", case.name);
@@ -358,7 +378,10 @@
         catalog.apply_update(update, at(0), Duration::ZERO);
     }
     // Endpoint 3 was written after the read.
-    assert_eq!(catalog.remove_missing(&[1], 30, at(10), Duration::ZERO), 1);
+    assert_eq!(
+        catalog.remove_missing(&[1], revision(30), at(10), Duration::ZERO),
+        1
+    );
     let mut remaining: Vec<u64> = catalog
         .endpoints()
         .filter(|(_, endpoint)| endpoint.accepts_flows(at(10)))
@@ -385,10 +408,15 @@
     catalog.apply_update(written(1, 5, warming_up), at(0), Duration::ZERO);
     catalog.apply_update(written(2, 6, entry("a", 2, DC_A)), at(0), Duration::ZERO);
     catalog.apply_update(removed(2, 9), at(50), HOLD);
-    catalog.advance(9, at(50));
+    catalog.advance(revision(9), at(50));
 
     let mut other = Catalog::default();
-    let summary = other.merge(&catalog.changed_after(0, at(100)), at(100));
+    let summary = other.merge(
+        &catalog.changed_after(revision(0), u64::MAX, at(100)),
+        Revision::NONE,
+        false,
+        at(100),
+    );
     assert_eq!((summary.endpoints, summary.configuration), (2, true));
     assert_eq!(other.configuration(), catalog.configuration());
     for (_, endpoint) in catalog.endpoints() {
@@ -404,9 +432,19 @@
             warmup_left(endpoint.warmup_ends_at)
         );
     }
-    let repeated = other.merge(&catalog.changed_after(0, at(100)), at(100));
+    let repeated = other.merge(
+        &catalog.changed_after(revision(0), u64::MAX, at(100)),
+        Revision::NONE,
+        false,
+        at(100),
+    );
     assert_eq!(repeated, MergeSummary::default());
-    assert!(catalog.changed_after(9, at(100)).endpoints.is_empty());
+    assert!(
+        catalog
+            .changed_after(revision(9), u64::MAX, at(100))
+            .endpoints
+            .is_empty()
+    );
 }
 
 #[test]
@@ -421,7 +459,7 @@
     catalog.apply_update(removed(1, 6), at(0), Duration::ZERO);
     assert!(catalog.drop_gone(at(60_000), lifetime).is_empty());
     assert_eq!(catalog.drop_gone(at(60_001), lifetime).len(), 1);
-    assert_eq!(catalog.dropped_revision(), 6);
+    assert_eq!(catalog.dropped_revision(), revision(6));
     assert!(catalog.by_tag(tag(1, 1000)).is_none());
 }
 
@@ -437,11 +475,11 @@
 #[test]
 fn older_confirmations_do_not_change_revision_or_age() {
     let mut catalog = Catalog::default();
-    catalog.advance(9, at(1000));
+    catalog.advance(revision(9), at(1000));
     catalog.confirm(at(500));
     assert_eq!(catalog.age(at(1500)), Duration::from_millis(500));
     // A late response carries an older revision.
-    catalog.advance(8, at(1400));
-    assert_eq!(catalog.revision(), 9);
+    catalog.advance(revision(8), at(1400));
+    assert_eq!(catalog.revision(), revision(9));
     assert_eq!(catalog.age(at(1500)), Duration::from_millis(500));
 }
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 use ragwortbeam_base::clock::Moment;
 use ragwortbeam_steering::catalog::{
-    Catalog, Change, Configuration, Entry, EntryUpdate, Route, Target, Traffic,
+    Catalog, Change, Configuration, Entry, EntryUpdate, Revision, Route, Target, Traffic,
 };
 use ragwortbeam_steering::load::EndpointLoads;
 use ragwortbeam_steering::packet::{Flags, Packet};
@@ -23,6 +23,11 @@
     Moment::from_ms(1_000_000 + ms)
 }
 
+/// Returns a revision of a store that was never restored.
+pub fn revision(number: u64) -> Revision {
+    Revision::new(0, number)
+}
+
 pub fn address(last_octet: u8, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, last_octet), port)
 }
@@ -43,18 +48,18 @@
     }
 }
 
-pub fn written(endpoint: u64, revision: u64, entry: Entry) -> EntryUpdate {
+pub fn written(endpoint: u64, number: u64, entry: Entry) -> EntryUpdate {
     EntryUpdate {
         endpoint,
-        revision,
+        revision: revision(number),
         change: Change::Written(entry),
     }
 }
 
-pub fn removed(endpoint: u64, revision: u64) -> EntryUpdate {
+pub fn removed(endpoint: u64, number: u64) -> EntryUpdate {
     EntryUpdate {
         endpoint,
-        revision,
+        revision: revision(number),
         change: Change::Removed,
     }
 }
@@ -74,9 +79,9 @@
     }
 }
 
-pub fn configuration(version: u64, revision: u64, routes: Vec<Route>) -> Configuration {
+pub fn configuration(version: u64, number: u64, routes: Vec<Route>) -> Configuration {
     Configuration {
-        revision,
+        revision: revision(number),
         version,
         flow_idle: Duration::from_secs(15),
         routes: routes
@@ -165,7 +170,7 @@
         for (id, entry) in entries {
             catalog.apply_update(written(id, 2 + id, entry), at(0), Duration::ZERO);
         }
-        catalog.advance(20, at(0));
+        catalog.advance(revision(20), at(0));
         let catalog = Arc::new(Mutex::new(catalog));
         let endpoint_loads: Arc<Mutex<EndpointLoads>> = Arc::default();
         let steering = Steering::new(
--- a/crates/steering/tests/evacuation.rs
+++ b/crates/steering/tests/evacuation.rs
@@ -5,25 +5,29 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use common::{DC_A, DC_B, Vm, at, entry, expect_forwarded, ledger, opening_packet, written};
+use common::{
+    DC_A, DC_B, Vm, at, entry, expect_forwarded, ledger, opening_packet, revision, written,
+};
 use ragwortbeam_base::clock::Moment;
-use ragwortbeam_steering::catalog::{Catalog, EvacuationUpdate, Evacuations, Traffic, Warmup};
+use ragwortbeam_steering::catalog::{
+    Catalog, EvacuationUpdate, Evacuations, Revision, Traffic, Warmup,
+};
 use ragwortbeam_steering::choice::{PlacementRequest, choose};
 use ragwortbeam_steering::load::EndpointLoads;
 use ragwortbeam_steering::subset::Subset;
 
-fn ordered(data_centre: &str, revision: u64) -> EvacuationUpdate {
+fn ordered(data_centre: &str, number: u64) -> EvacuationUpdate {
     EvacuationUpdate {
         data_centre: data_centre.into(),
-        revision,
+        revision: revision(number),
         is_ordered: true,
     }
 }
 
-fn ended(data_centre: &str, revision: u64) -> EvacuationUpdate {
+fn ended(data_centre: &str, number: u64) -> EvacuationUpdate {
     EvacuationUpdate {
         is_ordered: false,
-        ..ordered(data_centre, revision)
+        ..ordered(data_centre, number)
     }
 }
 
@@ -32,11 +36,12 @@
     names.collect()
 }
 
-/// Sends all changes after `revision` from one catalog to another, as a push or a pull does.
-fn pass_on(from: &Catalog, to: &mut Catalog, revision: u64, now: Moment) {
-    let message = from.changed_after(revision, now);
+/// Sends all changes after a revision from one catalog to another, as a push or a pull does.
+fn pass_on(from: &Catalog, to: &mut Catalog, after: u64, now: Moment) {
+    let message = from.changed_after(revision(after), u64::MAX, now);
     let view = from.view(now);
-    to.merge_evacuations(&message, view.evacuations_revision, now);
+    let complete_to = Revision::new(view.evacuations_era, view.evacuations_revision);
+    to.merge_evacuations(&message, complete_to, now);
 }
 
 #[test]
@@ -78,8 +83,8 @@
     ];
     for case in cases {
         let mut catalog = Catalog::default();
-        for (updates, revision) in case.batches {
-            catalog.apply_evacuations(updates, revision, at(0));
+        for (updates, number) in case.batches {
+            catalog.apply_evacuations(updates, revision(number), at(0));
         }
         assert_eq!(evacuated(&catalog), case.expected, "{}", case.name);
     }
@@ -89,9 +94,9 @@
 fn orders_converge_in_any_order_of_messages() {
     // States of the store at revisions 5, 7 and 9, as three VMs read them.
     let mut states: [Catalog; 3] = Default::default();
-    states[0].apply_evacuations(vec![ordered(DC_A, 5)], 5, at(0));
-    states[1].apply_evacuations(vec![ordered(DC_A, 5), ordered(DC_B, 7)], 7, at(0));
-    states[2].apply_evacuations(vec![ordered(DC_B, 7)], 9, at(0));
+    states[0].apply_evacuations(vec![ordered(DC_A, 5)], revision(5), at(0));
+    states[1].apply_evacuations(vec![ordered(DC_A, 5), ordered(DC_B, 7)], revision(7), at(0));
+    states[2].apply_evacuations(vec![ordered(DC_B, 7)], revision(9), at(0));
     let orders = [
         [0, 1, 2],
         [2, 1, 0],
@@ -106,29 +111,36 @@
             pass_on(&states[sender], &mut receiver, 100, at(0));
         }
         assert_eq!(evacuated(&receiver), [DC_B], "{order:?}");
-        assert_eq!(receiver.evacuations().complete_to(), 9, "{order:?}");
+        assert_eq!(
+            receiver.evacuations().complete_to(),
+            revision(9),
+            "{order:?}"
+        );
     }
 }
 
 #[test]
 fn a_message_of_a_version_without_orders_ends_none() {
     let mut receiver = Catalog::default();
-    receiver.apply_evacuations(vec![ordered(DC_A, 5)], 5, at(0));
+    receiver.apply_evacuations(vec![ordered(DC_A, 5)], revision(5), at(0));
     // Such a version leaves both fields at their default.
-    let message = Catalog::default().changed_after(0, at(0));
-    assert!(!receiver.merge_evacuations(&message, 0, at(0)));
+    let message = Catalog::default().changed_after(revision(0), u64::MAX, at(0));
+    assert!(!receiver.merge_evacuations(&message, Revision::NONE, at(0)));
     assert_eq!(evacuated(&receiver), [DC_A]);
 }
 
 #[test]
 fn a_full_read_after_lost_history_ends_removed_orders() {
     let mut catalog = Catalog::default();
-    catalog.apply_evacuations(vec![ordered(DC_A, 5)], 5, at(0));
-    let read = Evacuations::new(30, [(DC_B.into(), 21)]);
+    catalog.apply_evacuations(vec![ordered(DC_A, 5)], revision(5), at(0));
+    let read = Evacuations::new(revision(30), [(DC_B.into(), revision(21))]);
     assert!(catalog.replace_evacuations(read, at(0)));
     assert_eq!(evacuated(&catalog), [DC_B]);
     // A full read that began before and arrives late changes nothing.
-    assert!(!catalog.replace_evacuations(Evacuations::new(20, [(DC_A.into(), 5)]), at(0)));
+    assert!(!catalog.replace_evacuations(
+        Evacuations::new(revision(20), [(DC_A.into(), revision(5))]),
+        at(0)
+    ));
     assert_eq!(evacuated(&catalog), [DC_B]);
 }
 
@@ -229,7 +241,7 @@
             catalog.apply_update(update, at(0), Duration::ZERO);
         }
         let orders = case.evacuated.iter().map(|name| ordered(name, 10));
-        catalog.apply_evacuations(orders.collect(), 10, at(0));
+        catalog.apply_evacuations(orders.collect(), revision(10), at(0));
         let mut endpoint_loads = EndpointLoads::default();
         for id in case.silent {
             let (key, _) = catalog.endpoints().find(|(_, it)| it.id == *id).unwrap();
@@ -262,7 +274,7 @@
         entry.warmup_left = Duration::from_secs(warmup_s);
         catalog.apply_update(written(id, 1 + id, entry), at(0), Duration::ZERO);
     }
-    catalog.apply_evacuations(vec![ordered(DC_A, 10)], 10, at(0));
+    catalog.apply_evacuations(vec![ordered(DC_A, 10)], revision(10), at(0));
     let loads = EndpointLoads::default();
     assert!(chosen_ids(&catalog, &loads, at(100)).is_empty());
     assert_eq!(chosen_ids(&catalog, &loads, at(2100)), [2]);
@@ -280,7 +292,7 @@
     vm.catalog
         .lock()
         .unwrap()
-        .apply_evacuations(order, 21, at(15));
+        .apply_evacuations(order, revision(21), at(15));
     for retransmissions in [0, 1] {
         let packet = opening_packet(1, ledger(), retransmissions);
         let (id, _) = expect_forwarded(vm.steering.decide(&packet, at(20)));
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -7,7 +7,9 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use common::{DC_A, DC_B, at, configuration, entry, ledger, opening_packet, route, written};
+use common::{
+    DC_A, DC_B, at, configuration, entry, ledger, opening_packet, revision, route, written,
+};
 use ragwortbeam_base::clock::Moment;
 use ragwortbeam_steering::catalog::{Catalog, EndpointKey, EvacuationUpdate, Traffic, Warmup};
 use ragwortbeam_steering::choice::{PlacementRequest, choose};
@@ -43,7 +45,7 @@
             let update = written(id, id + 1, entry("ledger", id as u8, DC_A));
             catalog.apply_update(update, at(0), Duration::ZERO);
         }
-        catalog.advance(count + 1, at(0));
+        catalog.advance(revision(count + 1), at(0));
         Self {
             catalog,
             loads: EndpointLoads::default(),
@@ -574,7 +576,7 @@
     world
         .catalog
         .apply_update(written(1, 90, fresh), at(0), Duration::ZERO);
-    world.catalog.advance(90, at(0));
+    world.catalog.advance(revision(90), at(0));
     let key = world.key_of_newest(1);
     let mut ends: BinaryHeap<Reverse<(Moment, ClaimId)>> = BinaryHeap::new();
     let mut slots: HashMap<u64, [Moment; 2]> = HashMap::new();
@@ -629,7 +631,7 @@
     world
         .catalog
         .apply_update(written(1, 90, cold), at(0), Duration::ZERO);
-    world.catalog.advance(90, at(0));
+    world.catalog.advance(revision(90), at(0));
     let mut counts = [0, 0];
     for index in 0..100 {
         let now = at(index * 40);
@@ -678,7 +680,7 @@
         let update = written(id, 20 + id, fresh);
         world.catalog.apply_update(update, at(0), Duration::ZERO);
     }
-    world.catalog.advance(30, at(0));
+    world.catalog.advance(revision(30), at(0));
     // Four requests for each of two slots: no pace holds back where all endpoints are alike.
     for index in 0..64 {
         let (_, answer) = world.claim(0, false, at(0));
@@ -700,7 +702,7 @@
     for world in &mut worlds {
         world.allocator = Allocator::new(DC_A, limit);
         let mut configuration = world.catalog.configuration().clone();
-        configuration.revision = 50;
+        configuration.revision = revision(50);
         configuration.version = 6;
         let warmup = Warmup {
             duration: MS(2000),
@@ -716,7 +718,7 @@
         world
             .catalog
             .apply_update(written(1, 60, cold), at(0), Duration::ZERO);
-        world.catalog.advance(60, at(0));
+        world.catalog.advance(revision(60), at(0));
     }
     let mut openings: Vec<u64> = Vec::new();
     for ms in 1200..3200 {
@@ -770,7 +772,7 @@
 fn endpoints_count_as_warming_up_after_an_evacuation_where_that_is_limited() {
     let mut world = World::new(1);
     let mut configuration = world.catalog.configuration().clone();
-    configuration.revision = 50;
+    configuration.revision = revision(50);
     configuration.version = 6;
     let warmup = Warmup {
         duration: MS(2000),
@@ -778,17 +780,17 @@
     };
     configuration.warmups.insert("ledger".into(), warmup);
     world.catalog.apply_configuration(configuration);
-    let order = |revision, is_ordered| EvacuationUpdate {
+    let order = |number, is_ordered| EvacuationUpdate {
         data_centre: DC_A.into(),
-        revision,
+        revision: revision(number),
         is_ordered,
     };
     world
         .catalog
-        .apply_evacuations(vec![order(60, true)], 60, at(0));
+        .apply_evacuations(vec![order(60, true)], revision(60), at(0));
     world
         .catalog
-        .apply_evacuations(vec![order(70, false)], 70, at(9000));
+        .apply_evacuations(vec![order(70, false)], revision(70), at(9000));
     let endpoint = world.catalog.endpoint(world.key(1)).unwrap();
     assert_eq!(world.catalog.warmup_rate(endpoint, at(9000)), Some(4.0));
     assert_eq!(world.catalog.warmup_rate(endpoint, at(11_000)), None);
@@ -809,10 +811,12 @@
     assert_eq!(shards.iter().map(|it| it.slots).sum::<u32>(), 200);
     let order = EvacuationUpdate {
         data_centre: DC_A.into(),
-        revision: 500,
+        revision: revision(500),
         is_ordered: true,
     };
-    world.catalog.apply_evacuations(vec![order], 500, at(0));
+    world
+        .catalog
+        .apply_evacuations(vec![order], revision(500), at(0));
     assert!(!map.is_current(&world.catalog, at(0)));
     assert!(
         ShardMap::split(DC_A, &world.catalog, at(0))
--- a/crates/steering/tests/reader.rs
+++ b/crates/steering/tests/reader.rs
@@ -7,10 +7,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use common::{DC_A, DC_B, configuration, entry, ledger, removed, route, written};
+use common::{DC_A, DC_B, configuration, entry, ledger, removed, revision, route, written};
 use prost::Message;
 use ragwortbeam_base::clock::Moment;
-use ragwortbeam_steering::catalog::{Catalog, EvacuationUpdate, Traffic};
+use ragwortbeam_steering::catalog::{Catalog, EvacuationUpdate, Revision, Traffic};
 use ragwortbeam_steering::catalog_source::{CatalogSource, CatalogUpdate, SourceFuture};
 use ragwortbeam_steering::errors::Error;
 use ragwortbeam_steering::http_server::{self, HandlerState};
@@ -70,7 +70,7 @@
 
     async fn next_response(
         &self,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> Result<Option<CatalogUpdate>, Error> {
         let unavailable = || Error::Status {
@@ -110,24 +110,24 @@
         self.calls.lock().unwrap().push("all");
         Box::pin(async {
             Ok(self
-                .next_response(0, Duration::ZERO)
+                .next_response(Revision::NONE, Duration::ZERO)
                 .await?
                 .unwrap_or_default())
         })
     }
 
-    fn watch(&self, revision: u64, wait: Duration) -> SourceFuture<'_, Option<CatalogUpdate>> {
+    fn watch(&self, revision: Revision, wait: Duration) -> SourceFuture<'_, Option<CatalogUpdate>> {
         self.calls.lock().unwrap().push("changes");
         Box::pin(self.next_response(revision, wait))
     }
 }
 
-fn full_update(revision: u64, ids: &[u64]) -> CatalogUpdate {
+fn full_update(number: u64, ids: &[u64]) -> CatalogUpdate {
     let entry_updates = ids
         .iter()
         .map(|id| written(*id, 2 + id, entry("ledger", *id as u8, DC_A)));
     CatalogUpdate {
-        revision,
+        revision: revision(number),
         configuration: Some(configuration(
             5,
             2,
@@ -139,11 +139,11 @@
 }
 
 fn partial_update(
-    revision: u64,
+    number: u64,
     entry_updates: Vec<ragwortbeam_steering::catalog::EntryUpdate>,
 ) -> CatalogUpdate {
     CatalogUpdate {
-        revision,
+        revision: revision(number),
         configuration: None,
         entry_updates,
         evacuation_updates: Vec::new(),
@@ -276,6 +276,7 @@
             revision,
             age_ms: 0,
             evacuations_revision: revision,
+            ..View::default()
         }),
         ..Frame::default()
     };
@@ -322,8 +323,10 @@
         Response::Update(full_update(40, &[2, 3])),
     ]);
     let vm = Vm::start(2, 17702, &[], source).await;
-    vm.wait_until(SHORT_LIMIT, "at revision 40", |it| it.revision() == 40)
-        .await;
+    vm.wait_until(SHORT_LIMIT, "at revision 40", |it| {
+        it.revision() == revision(40)
+    })
+    .await;
     assert_eq!(usable_ids(&vm.catalog.lock().unwrap()), [2, 3]);
 }
 
@@ -340,7 +343,7 @@
     ]);
     let vm = Vm::start(3, 17703, &[], source).await;
     let limit = Duration::from_secs(4);
-    vm.wait_until(limit, "at revision 20", |it| it.revision() >= 20)
+    vm.wait_until(limit, "at revision 20", |it| it.revision() >= revision(20))
         .await;
     assert_eq!(usable_ids(&vm.catalog.lock().unwrap()), [1, 2]);
     vm.wait_until(limit, "without endpoint 1", |it| usable_ids(it) == [2])
@@ -354,8 +357,10 @@
         Response::Update(partial_update(11, vec![removed(1, 11)])),
     ]);
     let vm = Vm::start(4, 17704, &[], source).await;
-    vm.wait_until(SHORT_LIMIT, "at revision 11", |it| it.revision() == 11)
-        .await;
+    vm.wait_until(SHORT_LIMIT, "at revision 11", |it| {
+        it.revision() == revision(11)
+    })
+    .await;
     assert_eq!(usable_ids(&vm.catalog.lock().unwrap()), [2]);
 }
 
@@ -535,9 +540,10 @@
             revision: 1000,
             age_ms: 0,
             evacuations_revision: 1000,
+            ..View::default()
         }),
         body: Some(frame::Body::Digest(Digest {
-            changes: Some(neighbour.changed_after(0, Moment::now())),
+            changes: Some(neighbour.changed_after(revision(0), u64::MAX, Moment::now())),
             ..Digest::default()
         })),
         ..Frame::default()
@@ -578,7 +584,7 @@
     reading_source.push([Response::Update(full_update(200, &ids))]);
     second
         .wait_until(Duration::from_millis(600), "at revision 200", |it| {
-            it.revision() == 200
+            it.revision() == revision(200)
         })
         .await;
 }
@@ -639,7 +645,7 @@
     let mut all = full_update(1000, &[1]);
     all.evacuation_updates.push(EvacuationUpdate {
         data_centre: DC_B.into(),
-        revision: 900,
+        revision: revision(900),
         is_ordered: true,
     });
     let source = ScriptedSource::of([
@@ -650,7 +656,10 @@
     vm.wait_until(SHORT_LIMIT, "loaded", Catalog::is_loaded)
         .await;
     // Another VM's changes raise the revision, but not that of the orders.
-    vm.catalog.lock().unwrap().advance(20, Moment::now());
+    vm.catalog
+        .lock()
+        .unwrap()
+        .advance(revision(20), Moment::now());
     vm.wait_until(SHORT_LIMIT, "evacuated", |catalog| {
         catalog.evacuations().contains(DC_B)
     })
--- a/crates/steering/tests/steering.rs
+++ b/crates/steering/tests/steering.rs
@@ -6,9 +6,9 @@
 
 use common::{
     DC_A, Vm, address, at, configuration, data_packet, entry, expect_forwarded, ledger,
-    opening_packet, removed, route, vault, written,
+    opening_packet, removed, revision, route, vault, written,
 };
-use ragwortbeam_steering::catalog::{Entry, Traffic, address_mask, tag};
+use ragwortbeam_steering::catalog::{Entry, Revision, Traffic, address_mask, tag};
 use ragwortbeam_steering::reset::Reason;
 use ragwortbeam_steering::steer::{DiscardReason, Outcome};
 
@@ -347,13 +347,20 @@
             Source::Neighbour => {
                 let neighbour = Vm::new();
                 neighbour.apply_update(update, at(600));
-                let changes = neighbour.catalog.lock().unwrap().changed_after(20, at(600));
-                vm.catalog.lock().unwrap().merge(&changes, at(600));
+                let changes = neighbour.catalog.lock().unwrap().changed_after(
+                    revision(20),
+                    u64::MAX,
+                    at(600),
+                );
+                vm.catalog
+                    .lock()
+                    .unwrap()
+                    .merge(&changes, Revision::NONE, false, at(600));
             }
             Source::FullRead => {
                 vm.apply_update(update, at(600));
                 let mut catalog = vm.catalog.lock().unwrap();
-                catalog.remove_missing(&[endpoint, 9], 40, at(600), Duration::ZERO);
+                catalog.remove_missing(&[endpoint, 9], revision(40), at(600), Duration::ZERO);
             }
             Source::StoreTwice => {
                 vm.apply_update(update, at(600));
--- a/crates/steering/tests/subset.rs
+++ b/crates/steering/tests/subset.rs
@@ -7,7 +7,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use common::{DC_A, DC_B, at, entry, removed, written};
+use common::{DC_A, DC_B, at, entry, removed, revision, written};
 use ragwortbeam_steering::catalog::Catalog;
 use ragwortbeam_steering::subset::{Subset, SubsetCache};
 
@@ -28,7 +28,7 @@
             }
         }
     }
-    catalog.advance(id, at(0));
+    catalog.advance(revision(id), at(0));
     catalog
 }
 
@@ -114,13 +114,13 @@
     };
     assert_eq!(tags(&catalog, 0), 3);
     catalog.apply_update(removed(1, 10), at(100), Duration::from_millis(500));
-    catalog.advance(10, at(100));
+    catalog.advance(revision(10), at(100));
     // The endpoint is kept until the hold of its removed entry ends.
     assert_eq!(tags(&catalog, 100), 3);
     assert_eq!(tags(&catalog, 600), 2);
     let mut draining = entry("service-0", 2, DC_A);
     draining.is_draining = true;
     catalog.apply_update(written(2, 11, draining), at(700), Duration::ZERO);
-    catalog.advance(11, at(700));
+    catalog.advance(revision(11), at(700));
     assert_eq!(tags(&catalog, 700), 1);
 }
--- a/crates/testbed/src/steering_capacity.rs
+++ b/crates/testbed/src/steering_capacity.rs
@@ -8,7 +8,7 @@
 
 use prost::Message;
 use ragwortbeam_base::clock::Moment;
-use ragwortbeam_steering::catalog::{Catalog, Change, Entry, EntryUpdate, Traffic};
+use ragwortbeam_steering::catalog::{Catalog, Change, Entry, EntryUpdate, Revision, Traffic};
 use ragwortbeam_steering::choice::{PlacementRequest, choose};
 use ragwortbeam_steering::load::{EndpointLoads, Loads, ReportedLoad};
 use ragwortbeam_steering::mesh::columns;
@@ -96,12 +96,12 @@
         };
         let update = EntryUpdate {
             endpoint: number,
-            revision: number + 1,
+            revision: Revision::new(0, number + 1),
             change: Change::Written(entry),
         };
         catalog.apply_update(update, Moment::default(), Duration::ZERO);
     }
-    catalog.advance(endpoints, Moment::default());
+    catalog.advance(Revision::new(0, endpoints), Moment::default());
     catalog
 }
 
