What is known of an endpoint outlasts an older entry of a restored store

Seen by callers: with revisions ordered by era, a restored copy's entry in which an endpoint is still ready replaced the known one in which it drains or has left; it got new flows (DRAIN, or silence) until it wrote again or its lease ended. Cause: the copy's entries have revisions of a later era, though their content is older. Change: an entry that a restored store lists is put off for 5 s where the endpoint is known to drain, to be gone or to have started again since. By then the endpoint has written again or lost its lease, which decides; otherwise the entry is used. VMs pass on what the store lists, and each puts off by what it knows itself. A gone endpoint whose entry is removed again stays gone. Conclusion: the copy no longer overrules later knowledge of endpoints.

--- a/crates/steering/src/catalog/endpoint.rs
+++ b/crates/steering/src/catalog/endpoint.rs
@@ -1,5 +1,6 @@
 //! An endpoint instance, its entry in the store and the updates of that entry.
 
+use std::cmp::Ordering;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,11 @@
 /// lost. A removal that is read in this time is held until its end.
 pub const LAPSED_ENTRY_HOLD: Duration = Duration::from_millis(2200);
 
+/// Time after a restoration of the store within which its writers write again what the copy lacks,
+/// and entries of endpoints that have gone lapse: more than the three heartbeats of an endpoint, of
+/// 1.2 s each, after which its lease ends.
+pub(super) const RESTORED_STATE_HOLD: Duration = Duration::from_secs(5);
+
 /// Longest name of a service or data centre, bytes.
 const MAX_NAME_LEN: usize = 200;
 
@@ -149,6 +155,18 @@
     pub warmup_ends_at: Moment,
     /// Set when the entry was removed or replaced by that of a later instance.
     pub removal: Option<Removal>,
+    /// Entry that the restored store lists in place of the one here; `None` when they agree.
+    pub restored: Option<RestoredEntry>,
+}
+
+/// Entry that the store lists after its restoration from a copy, though a later state of the endpoint
+/// is known. It is used if the endpoint neither writes again nor loses it in time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RestoredEntry {
+    /// The entry in the store.
+    pub entry: Entry,
+    /// Time from which the entry is used.
+    pub due_at: Moment,
 }
 
 impl Endpoint {
@@ -164,10 +182,21 @@
 
     /// Returns whether the entry may merely have lapsed, so that the endpoint may still run.
     pub fn may_have_lapsed(&self, now: Moment) -> bool {
-        let is_recent = |gone: Duration| gone <= LAPSE_WINDOW;
+        let is_recent = |gone: Duration| gone <= LAPSE_WINDOW || self.restored.is_some();
         !self.entry.is_draining && self.gone_for(now).is_some_and(is_recent)
     }
 
+    /// Returns whether the state here is later than an entry from a copy of the store: the copy has
+    /// an earlier start of the endpoint, or does not know yet that it drains or is gone.
+    pub(super) fn is_later_than(&self, copied: &Entry, now: Moment) -> bool {
+        let has_ended = self.is_gone(now) || (self.entry.is_draining && !copied.is_draining);
+        match self.entry.born_ms.cmp(&copied.born_ms) {
+            Ordering::Greater => true,
+            Ordering::Equal => has_ended,
+            Ordering::Less => false,
+        }
+    }
+
     /// Returns when the endpoint is or will be gone; `None` when its entry is not removed.
     pub fn gone_at(&self) -> Option<Moment> {
         self.removal
--- a/crates/steering/src/catalog/mod.rs
+++ b/crates/steering/src/catalog/mod.rs
@@ -11,6 +11,7 @@
 pub use configuration::{Configuration, Route, Target, Traffic, Warmup};
 pub use endpoint::{
     Change, Endpoint, EndpointKey, Entry, EntryError, EntryUpdate, LAPSED_ENTRY_HOLD, Removal,
+    RestoredEntry,
 };
 pub use evacuation::{EvacuationUpdate, Evacuations};
 pub use revision::Revision;
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -1,5 +1,6 @@
 //! The replicated catalog: updates are ordered by store revision, so an older one never
-//! replaces a newer one, whatever their source and order of arrival.
+//! replaces a newer one, whatever their source and order of arrival. After a restoration of the store
+//! from a copy, what is known here may be later than what the store lists.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -10,9 +11,10 @@
 use slotmap::SlotMap;
 use spdlog::info;
 
+use super::endpoint::RESTORED_STATE_HOLD;
 use super::{
     Change, Configuration, Endpoint, EndpointKey, Entry, EntryUpdate, EvacuationUpdate,
-    Evacuations, Removal, Revision, Route, address_mask, tag,
+    Evacuations, Removal, RestoredEntry, Revision, Route, address_mask, tag,
 };
 
 /// Changes that a merge made; none by default.
@@ -30,6 +32,7 @@
 pub struct StateId {
     revision: Revision,
     evacuations: Revision,
+    settled: u64,
 }
 
 /// Routes and endpoints up to a revision of the store.
@@ -49,6 +52,8 @@
     /// Highest revision of a dropped endpoint; `NONE` for none. The changes after a lower revision
     /// are no longer complete here.
     dropped_revision: Revision,
+    /// Number of times that [`Self::settle`] changed something.
+    settled: u64,
     /// True once an entry had a start time, from which on those without one are doubted.
     has_start_times: bool,
 }
@@ -133,6 +138,7 @@
         StateId {
             revision: self.revision,
             evacuations: self.evacuations.complete_to(),
+            settled: self.settled,
         }
     }
 
@@ -267,6 +273,7 @@
             (Change::Removed, Some(key)) => {
                 let endpoint = &mut self.endpoints[key];
                 endpoint.revision = update.revision;
+                endpoint.restored = None;
                 if !endpoint.is_gone(now) {
                     endpoint.removal = Some(Removal {
                         observed_at: now,
@@ -278,6 +285,7 @@
             (Change::Unreadable, Some(key)) => {
                 let endpoint = &mut self.endpoints[key];
                 endpoint.revision = update.revision;
+                endpoint.restored = None;
                 endpoint.entry.is_draining = true;
                 log_endpoint("endpoint_unreadable", endpoint, hold);
             }
@@ -286,10 +294,64 @@
         true
     }
 
+    /// Applies an entry that the store lists after its restoration from a copy; returns whether it
+    /// changed anything. Where a later state of the endpoint is known, that one is kept until
+    /// [`Self::settle`] finds that the endpoint did not write again.
+    pub fn apply_restored(&mut self, update: EntryUpdate, now: Moment, hold: Duration) -> bool {
+        if let Change::Written(entry) = &update.change
+            && self.defer_restored(update.endpoint, entry, update.revision, now)
+        {
+            return true;
+        }
+        self.apply_update(update, now, hold)
+    }
+
+    /// Defers an entry of the restored store if it is older than what is known of its endpoint;
+    /// returns whether it is.
+    fn defer_restored(&mut self, id: u64, entry: &Entry, revision: Revision, now: Moment) -> bool {
+        let Some(key) = self.by_id.get(&id) else {
+            return false;
+        };
+        let endpoint = &mut self.endpoints[*key];
+        if revision <= endpoint.revision || !endpoint.is_later_than(entry, now) {
+            return false;
+        }
+        endpoint.revision = revision;
+        endpoint.restored = Some(RestoredEntry {
+            entry: entry.clone(),
+            due_at: now + RESTORED_STATE_HOLD,
+        });
+        log_endpoint("restored_entry_deferred", endpoint, RESTORED_STATE_HOLD);
+        true
+    }
+
+    /// Uses the restored entries that are due.
+    pub fn settle(&mut self, now: Moment) {
+        let is_due = |it: &RestoredEntry| now >= it.due_at;
+        let due: Vec<(u64, Revision, Entry)> = self
+            .by_id
+            .iter()
+            .map(|(id, key)| (*id, &self.endpoints[*key]))
+            .filter_map(|(id, endpoint)| {
+                let restored = endpoint.restored.as_ref().filter(|it| is_due(it))?;
+                Some((id, endpoint.revision, restored.entry.clone()))
+            })
+            .collect();
+        for (id, revision, entry) in due {
+            self.settled += 1;
+            self.put_entry(id, entry, revision, None, now);
+        }
+    }
+
     /// Merges an endpoint instance from another VM's catalog if it is newer than the current one;
-    /// returns whether it did.
-    pub fn merge_endpoint(&mut self, endpoint: Endpoint, now: Moment) -> bool {
+    /// returns whether it did. `is_restored` tells that the other catalog follows a restoration of
+    /// the store that is not known here yet.
+    pub fn merge_endpoint(&mut self, endpoint: Endpoint, is_restored: bool, now: Moment) -> bool {
         let Endpoint { id, revision, .. } = endpoint;
+        let is_listed = is_restored && endpoint.removal.is_none();
+        if is_listed && self.defer_restored(id, &endpoint.entry, revision, now) {
+            return true;
+        }
         let current = self.by_id.get(&endpoint.id).copied();
         if current.is_some_and(|key| endpoint.revision <= self.endpoints[key].revision) {
             return false;
@@ -415,6 +477,7 @@
             revision,
             tag,
             removal,
+            restored: None,
         };
         let key = match known {
             Some(key) => {
--- a/crates/steering/src/catalog/wire.rs
+++ b/crates/steering/src/catalog/wire.rs
@@ -100,7 +100,7 @@
         endpoints.sort_by_key(|endpoint| (endpoint.era, endpoint.revision));
         for message in endpoints {
             let is_changed = match endpoint_from_message(message, now) {
-                Ok(endpoint) => self.merge_endpoint(endpoint, now),
+                Ok(endpoint) => self.merge_endpoint(endpoint, is_restored, now),
                 Err(error) => {
                     warn!(
                         "event=peer_entry_unreadable endpoint={:x} revision={} error=\"{error}\"",
@@ -189,8 +189,16 @@
     }
 }
 
+/// Returns a message with an endpoint as the store lists it. Each VM defers a restored entry by what
+/// it knows itself.
 fn endpoint_to_message(endpoint: &Endpoint, now: Moment) -> message::Endpoint {
-    let entry = &endpoint.entry;
+    let restored = endpoint.restored.as_ref().map(|it| &it.entry);
+    let entry = restored.unwrap_or(&endpoint.entry);
+    let removal = endpoint.removal.filter(|_| restored.is_none());
+    let warmup_left = match restored {
+        Some(entry) => entry.warmup_left,
+        None => endpoint.warmup_ends_at.since(now),
+    };
     message::Endpoint {
         id: endpoint.id,
         born_ms: entry.born_ms,
@@ -202,8 +210,8 @@
         data_centre: entry.data_centre.to_string(),
         slots: entry.slots,
         is_draining: entry.is_draining,
-        warmup_left_ms: saturating_ms(endpoint.warmup_ends_at.since(now)),
-        removal: endpoint.removal.map(|removal| message::Removal {
+        warmup_left_ms: saturating_ms(warmup_left),
+        removal: removal.map(|removal| message::Removal {
             age_ms: saturating_ms(now.since(removal.observed_at)),
             hold_ms: saturating_ms(removal.hold),
         }),
@@ -280,6 +288,7 @@
             observed_at: now.before(Duration::from_millis(removal.age_ms.into())),
             hold: Duration::from_millis(removal.hold_ms.into()),
         }),
+        restored: None,
     })
 }
 
--- a/crates/steering/src/reader.rs
+++ b/crates/steering/src/reader.rs
@@ -339,7 +339,11 @@
                 catalog.apply_evacuations(update.evacuation_updates, update.revision, now);
             }
             for entry_update in update.entry_updates {
-                catalog.apply_update(entry_update, now, hold);
+                if is_restored {
+                    catalog.apply_restored(entry_update, now, hold);
+                } else {
+                    catalog.apply_update(entry_update, now, hold);
+                }
             }
             if let Some(present_ids) = present_ids {
                 catalog.remove_missing(&present_ids, update.revision, now, hold);
--- a/crates/steering/src/steer/mod.rs
+++ b/crates/steering/src/steer/mod.rs
@@ -235,6 +235,7 @@
         for key in endpoint_loads.take_silent_by_report(&catalog, now) {
             event_log::log_reported_silence(&catalog, key, now);
         }
+        catalog.settle(now);
         let dropped = catalog.drop_gone(now, self.flow_lifetime);
         endpoint_loads.remove(&dropped);
     }
