An evacuation that a restored store lacks is kept until it is written again

Seen by callers: with revisions ordered by era, an order that had been acknowledged ended when the store came back from a copy without it, until the operator had written it again (EVAC); the end restarted the warm-up of its endpoints. Cause: a set of orders of a later revision replaces the known one as a whole, also when the store lost the order. VMs pass on only what the store has. Conclusion: an order that the copy has although it was taken back is still kept until the operator removes it again: that costs room for a moment and breaks no promise.

--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -106,7 +106,7 @@
     /// whether it was one.
     pub fn replace_evacuations(&mut self, evacuations: Evacuations, now: Moment) -> bool {
         let previous = self.evacuations.clone();
-        let is_newer = self.evacuations.replace(evacuations);
+        let is_newer = self.evacuations.replace(evacuations, now);
         self.restart_warmups(&previous, now);
         is_newer
     }
@@ -325,8 +325,14 @@
         true
     }
 
-    /// Uses the restored entries that are due.
+    /// Uses the restored entries that are due, and ends the evacuation orders that a restoration of
+    /// the store dropped and nobody has written again.
     pub fn settle(&mut self, now: Moment) {
+        let previous = self.evacuations.clone();
+        if self.evacuations.end_held(now) {
+            self.settled += 1;
+            self.restart_warmups(&previous, now);
+        }
         let is_due = |it: &RestoredEntry| now >= it.due_at;
         let due: Vec<(u64, Revision, Entry)> = self
             .by_id
--- a/crates/steering/src/catalog/wire.rs
+++ b/crates/steering/src/catalog/wire.rs
@@ -33,7 +33,7 @@
                 .collect(),
             evacuations: self
                 .evacuations()
-                .ordered()
+                .stored()
                 .map(|(data_centre, revision)| message::Evacuation {
                     data_centre: data_centre.to_string(),
                     revision: revision.number,
--- a/crates/steering/src/http_server.rs
+++ b/crates/steering/src/http_server.rs
@@ -105,7 +105,7 @@
     let data_centre = state.link.data_centre_state(now).unwrap_or_default();
     let catalog = state.catalog.lock().unwrap();
     let members = state.link.members.lock().unwrap();
-    let evacuated: Vec<&str> = catalog.evacuations().ordered().map(|it| &**it.0).collect();
+    let evacuated: Vec<&str> = catalog.evacuations().ordered().map(|it| &**it).collect();
     let evacuated = if evacuated.is_empty() {
         "-".to_owned()
     } else {
--- a/crates/steering/tests/evacuation.rs
+++ b/crates/steering/tests/evacuation.rs
@@ -32,7 +32,7 @@
 }
 
 fn evacuated(catalog: &Catalog) -> Vec<String> {
-    let names = catalog.evacuations().ordered().map(|it| it.0.to_string());
+    let names = catalog.evacuations().ordered().map(|it| it.to_string());
     names.collect()
 }
 
