A restored entry leaves the warm-up of its endpoint as it is known

Seen by callers: refusals right after the store was restored, while all endpoints ran: they were held to the limit of endpoints that warm up. Cause: an entry says how much of the warm-up is left when it is written. Read from a copy, it made a warm-up that was over begin again, and one that an evacuation had restarted could end. Change: an entry of the restored store, read from it or passed on by a VM, leaves the warm-up of a known start of the endpoint as it is. The next write of the endpoint counts as before. Conclusion: what an entry says of time holds only from its writing.

--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -298,12 +298,29 @@
     /// changed anything. Where a later state of the endpoint is known, that one is kept until
     /// [`Self::settle`] finds that the endpoint did not write again.
     pub fn apply_restored(&mut self, update: EntryUpdate, now: Moment, hold: Duration) -> bool {
-        if let Change::Written(entry) = &update.change
-            && self.defer_restored(update.endpoint, entry, update.revision, now)
-        {
-            return true;
+        let Change::Written(entry) = &update.change else {
+            return self.apply_update(update, now, hold);
+        };
+        let (id, born_ms) = (update.endpoint, entry.born_ms);
+        self.defer_restored(id, entry, update.revision, now)
+            || self.with_known_warmup(id, born_ms, |it| it.apply_update(update, now, hold))
+    }
+
+    /// Applies an entry of the restored store, whose remaining warm-up may be as old as the copy: that
+    /// of a known instance stays.
+    fn with_known_warmup<T>(
+        &mut self,
+        id: u64,
+        born_ms: u64,
+        apply: impl FnOnce(&mut Self) -> T,
+    ) -> T {
+        let known = self.instance(id, born_ms);
+        let known_end = known.map(|key| self.endpoints[key].warmup_ends_at);
+        let result = apply(self);
+        if let (Some(key), Some(known_end)) = (known, known_end) {
+            self.endpoints[key].warmup_ends_at = known_end;
         }
-        self.apply_update(update, now, hold)
+        result
     }
 
     /// Defers an entry of the restored store if it is older than what is known of its endpoint;
@@ -345,7 +362,9 @@
             .collect();
         for (id, revision, entry) in due {
             self.settled += 1;
-            self.put_entry(id, entry, revision, None, now);
+            self.with_known_warmup(id, entry.born_ms, |it| {
+                it.put_entry(id, entry, revision, None, now);
+            });
         }
     }
 
@@ -355,9 +374,18 @@
     pub fn merge_endpoint(&mut self, endpoint: Endpoint, is_restored: bool, now: Moment) -> bool {
         let Endpoint { id, revision, .. } = endpoint;
         let is_listed = is_restored && endpoint.removal.is_none();
-        if is_listed && self.defer_restored(id, &endpoint.entry, revision, now) {
-            return true;
+        if is_listed {
+            let born_ms = endpoint.entry.born_ms;
+            return self.defer_restored(id, &endpoint.entry, revision, now)
+                || self.with_known_warmup(id, born_ms, |it| it.put_newer(endpoint, now));
         }
+        self.put_newer(endpoint, now)
+    }
+
+    /// Records an endpoint instance of another VM's catalog if it is newer than the current one;
+    /// returns whether it is.
+    fn put_newer(&mut self, endpoint: Endpoint, now: Moment) -> bool {
+        let Endpoint { id, revision, .. } = endpoint;
         let current = self.by_id.get(&endpoint.id).copied();
         if current.is_some_and(|key| endpoint.revision <= self.endpoints[key].revision) {
             return false;
--- a/crates/steering/tests/restoration.rs
+++ b/crates/steering/tests/restoration.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use common::{DC_A, at, configuration, entry, ledger, route};
-use ragwortbeam_steering::catalog::{Catalog, Change, Entry, EntryUpdate, Revision, Traffic};
+use ragwortbeam_steering::catalog::{
+    Catalog, Change, Entry, EntryUpdate, EvacuationUpdate, Revision, Traffic, Warmup,
+};
 
 const HOLD: Duration = Duration::from_millis(2200);
 
@@ -247,3 +249,63 @@
     let message = sender.changed_after(revision, receiver.configuration().version, at(0));
     assert!(message.configuration.is_none());
 }
+
+/// Guards against refusals because endpoints that have warmed up since the copy are held to the limit
+/// of those that warm up.
+#[test]
+fn a_copied_entry_does_not_restart_a_warm_up() {
+    let warming = Entry {
+        warmup_left: Duration::from_millis(2000),
+        ..ready()
+    };
+    let mut reader = known(&[Change::Written(warming.clone())]);
+    let mut receiver = known(&[Change::Written(warming.clone())]);
+    let mut settled = known(&[Change::Written(warming.clone()), Change::Removed]);
+    let listed = update(2, 5, Change::Written(warming));
+    let restored_at = at(2500);
+    reader.apply_restored(listed.clone(), restored_at, HOLD);
+    settled.apply_restored(listed.clone(), restored_at, HOLD);
+    let mut sender = Catalog::default();
+    sender.apply_update(listed, restored_at, HOLD);
+    let whole = sender.changed_after(Revision::NONE, 0, restored_at);
+    receiver.merge(&whole, Revision::new(2, 5), true, restored_at);
+    settled.settle(at(2500 + SETTLED_MS));
+    let cases = [
+        ("reader", reader, 2500),
+        ("receiver", receiver, 2500),
+        ("settled", settled, 2500 + SETTLED_MS),
+    ];
+    for (name, catalog, ms) in cases {
+        let (_, endpoint) = catalog.endpoints().next().unwrap();
+        assert!(endpoint.accepts_flows(at(ms)), "{name}");
+        assert!(!endpoint.is_warming_up(at(ms)), "{name}");
+    }
+}
+
+/// Guards against more requests than an endpoint bears after an evacuation, because a copied entry
+/// ends its warm-up.
+#[test]
+fn a_copied_entry_does_not_end_a_warm_up() {
+    let mut catalog = known(&[Change::Written(ready())]);
+    let mut limited = configuration(6, 3, Vec::new());
+    let warmup = Warmup {
+        duration: Duration::from_secs(8),
+        rate_per_s: 2.0,
+    };
+    limited.warmups.insert("ledger".into(), warmup);
+    catalog.apply_configuration(limited);
+    let order = |number, is_ordered| EvacuationUpdate {
+        data_centre: DC_A.into(),
+        revision: Revision::new(1, number),
+        is_ordered,
+    };
+    let orders = vec![order(21, true), order(22, false)];
+    for order in orders {
+        let revision = order.revision;
+        catalog.apply_evacuations(vec![order], revision, at(0));
+    }
+    catalog.apply_restored(update(2, 5, Change::Written(ready())), at(100), HOLD);
+    let (_, endpoint) = catalog.endpoints().next().unwrap();
+    assert!(endpoint.is_warming_up(at(7900)));
+    assert!(!endpoint.is_warming_up(at(8000)));
+}
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -144,3 +144,10 @@
 fn seed_302_expired_entries() {
     run_seed("302", "2", &[]);
 }
+
+/// Guards against refusals after a restoration of the store, because the copy's entries seemed to be
+/// those of endpoints that warm up.
+#[test]
+fn seed_38002_restored_warm_up() {
+    run_seed("38002", "2", &["--restore"]);
+}
