What a restoration left open stays open while the store is away

Seen by callers: none yet; found by asking what happens when the store goes away again within 5 s of its return. The copy's entry of a draining endpoint would be used, and an order would end, although their writers had no time to write again. Cause: the hold of 5 s ran on while the store could not be followed. Change: while the catalog is older than 2 s the holds begin anew. Conclusion: a hold ends only after 5 s in which the store was followed.

--- a/crates/steering/src/catalog/evacuation.rs
+++ b/crates/steering/src/catalog/evacuation.rs
@@ -148,6 +148,13 @@
         true
     }
 
+    /// Lets the holds of orders begin anew.
+    pub(super) fn extend_holds(&mut self, now: Moment) {
+        for order in self.ordered.values_mut() {
+            order.held_until = order.held_until.map(|_| now + RESTORED_STATE_HOLD);
+        }
+    }
+
     /// Ends the orders whose hold is over; returns whether there were any.
     pub(super) fn end_held(&mut self, now: Moment) -> bool {
         let is_over = |order: &Order| order.held_until.is_some_and(|end| now >= end);
--- a/crates/steering/src/catalog/store.rs
+++ b/crates/steering/src/catalog/store.rs
@@ -17,6 +17,9 @@
     Evacuations, Removal, RestoredEntry, Revision, Route, address_mask, tag,
 };
 
+/// Age of the catalog up to which it shows whether the store's writers have written again.
+const MAX_SETTLING_AGE: Duration = Duration::from_secs(2);
+
 /// Changes that a merge made; none by default.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct MergeSummary {
@@ -343,8 +346,17 @@
     }
 
     /// Uses the restored entries that are due, and ends the evacuation orders that a restoration of
-    /// the store dropped and nobody has written again.
+    /// the store dropped and nobody has written again. Their holds begin anew while the store cannot
+    /// be followed, as what its writers do is unknown then.
     pub fn settle(&mut self, now: Moment) {
+        if self.age(now) > MAX_SETTLING_AGE {
+            self.evacuations.extend_holds(now);
+            let restored = self.endpoints.values_mut();
+            for restored in restored.filter_map(|it| it.restored.as_mut()) {
+                restored.due_at = now + RESTORED_STATE_HOLD;
+            }
+            return;
+        }
         let previous = self.evacuations.clone();
         if self.evacuations.end_held(now) {
             self.settled += 1;
--- a/crates/steering/tests/restoration.rs
+++ b/crates/steering/tests/restoration.rs
@@ -7,7 +7,7 @@
 
 use common::{DC_A, at, configuration, entry, ledger, route};
 use ragwortbeam_steering::catalog::{
-    Catalog, Change, Entry, EntryUpdate, EvacuationUpdate, Revision, Traffic, Warmup,
+    Catalog, Change, Entry, EntryUpdate, EvacuationUpdate, Evacuations, Revision, Traffic, Warmup,
 };
 
 const HOLD: Duration = Duration::from_millis(2200);
@@ -164,6 +164,7 @@
             catalog.settle(at(100));
             assert_eq!(is_usable(&catalog, 100), case.usable[1], "{name}, changed");
             let state_id = catalog.state_id();
+            catalog.confirm(at(SETTLED_MS));
             catalog.settle(at(SETTLED_MS));
             assert_eq!(
                 is_usable(&catalog, SETTLED_MS),
@@ -269,6 +270,7 @@
     sender.apply_update(listed, restored_at, HOLD);
     let whole = sender.changed_after(Revision::NONE, 0, restored_at);
     receiver.merge(&whole, Revision::new(2, 5), true, restored_at);
+    settled.confirm(at(2500 + SETTLED_MS));
     settled.settle(at(2500 + SETTLED_MS));
     let cases = [
         ("reader", reader, 2500),
@@ -309,3 +311,36 @@
     assert!(endpoint.is_warming_up(at(7900)));
     assert!(!endpoint.is_warming_up(at(8000)));
 }
+
+/// Guards against a copied entry that is used, and an order that ends, because the store went away
+/// again before its writers could write.
+#[test]
+fn what_a_restoration_left_open_stays_open_while_the_store_is_away() {
+    let mut catalog = known(&[Change::Written(draining())]);
+    let order = EvacuationUpdate {
+        data_centre: DC_A.into(),
+        revision: Revision::new(1, 20),
+        is_ordered: true,
+    };
+    catalog.apply_evacuations(vec![order], Revision::new(1, 20), at(0));
+    let restored = Revision::new(2, 6);
+    catalog.replace_evacuations(Evacuations::new(restored, []), at(0));
+    catalog.apply_restored(update(2, 6, Change::Written(ready())), at(0), HOLD);
+    catalog.advance(restored, at(0));
+    for ms in (200..10_000).step_by(200) {
+        catalog.settle(at(ms));
+        assert!(!is_usable(&catalog, ms), "{ms} ms");
+        assert!(catalog.evacuations().contains(DC_A), "{ms} ms");
+    }
+    // The store returns, and nobody writes again.
+    for ms in (10_000..14_000).step_by(200) {
+        catalog.confirm(at(ms));
+        catalog.settle(at(ms));
+        assert!(!is_usable(&catalog, ms), "{ms} ms");
+        assert!(catalog.evacuations().contains(DC_A), "{ms} ms");
+    }
+    catalog.confirm(at(15_000));
+    catalog.settle(at(15_000));
+    assert!(is_usable(&catalog, 15_000));
+    assert!(!catalog.evacuations().contains(DC_A));
+}
